Add the build, the interfaces of all modules and the peer codec

Cause: modules are written in parallel and need fixed interfaces. Ruled out: one header for all interfaces, since it grows past what a reader can hold; a code generator for messages, since msgpack needs none.

--- /dev/null
+++ b/include/radishrail/job.h
@@ -0,0 +1,89 @@
+#ifndef RADISHRAIL_JOB_H_
+#define RADISHRAIL_JOB_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "radishrail/error.h"
+
+namespace radishrail {
+
+inline constexpr size_t kMaxJobBodyBytes = 4 * 1024 * 1024;
+inline constexpr size_t kMaxTasksPerJob = 512;
+inline constexpr size_t kMaxNameBytes = 128;
+inline constexpr absl::Duration kMinDeadline = absl::Milliseconds(1);
+// The resubmission window of 600 s less a margin of 30 s: a task never starts
+// after the window in which its key is remembered.
+inline constexpr absl::Duration kResubmissionWindow = absl::Seconds(600);
+inline constexpr absl::Duration kMaxDeadline = absl::Seconds(570);
+
+enum class TaskStatus {
+  kQueued,
+  kRunning,
+  kDone,
+  kFailed,
+  kNotRun,
+  kUnknown,
+  kMaxValue = kUnknown,
+};
+
+enum class JobStatus {
+  kRunning,
+  kComplete,
+  kFailed,
+  kNotRun,
+  kMaxValue = kNotRun,
+};
+
+std::string_view TaskStatusName(TaskStatus status);
+std::optional<TaskStatus> TaskStatusFromName(std::string_view name);
+std::string_view JobStatusName(JobStatus status);
+std::optional<JobStatus> JobStatusFromName(std::string_view name);
+
+// One task as the caller described it. Declared values are hints only.
+struct TaskSpec {
+  std::string id;
+  std::string kind;
+  std::string payload;
+  absl::Duration declared_run = absl::ZeroDuration();  // zero: not declared
+  int declared_slots = 1;
+  bool idempotent = false;
+};
+
+// One job as the caller submitted it.
+struct JobSpec {
+  std::string key;
+  std::string environment;
+  std::string team;
+  absl::Duration deadline = absl::Seconds(30);
+  std::vector<TaskSpec> tasks;
+  // xxHash64 of the canonical body; a resubmission must have the same.
+  uint64_t body_hash = 0;
+};
+
+struct TaskAnswer {
+  std::string id;
+  TaskStatus status = TaskStatus::kQueued;
+  std::string output;
+  Error error;
+};
+
+// The whole answer to a job. `tasks` has one entry for each submitted task, in
+// the order of submission.
+struct JobAnswer {
+  std::string key;
+  std::string environment;
+  JobStatus status = JobStatus::kRunning;
+  int64_t document_version = 0;
+  std::vector<TaskAnswer> tasks;
+  Error error;
+  absl::Duration retry_after = absl::ZeroDuration();
+};
+
+}  // namespace radishrail
+
+#endif  // RADISHRAIL_JOB_H_
--- /dev/null
+++ b/include/radishrail/job_controller.h
@@ -0,0 +1,80 @@
+#ifndef RADISHRAIL_JOB_CONTROLLER_H_
+#define RADISHRAIL_JOB_CONTROLLER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "radishrail/clock.h"
+#include "radishrail/document_controller.h"
+#include "radishrail/job.h"
+#include "radishrail/job_key.h"
+#include "radishrail/metrics.h"
+#include "radishrail/peer_message.h"
+#include "radishrail/random.h"
+#include "radishrail/scheduler.h"
+#include "radishrail/timeline.h"
+#include "radishrail/upstream_client.h"
+#include "radishrail/upstream_registry.h"
+
+namespace radishrail {
+
+// The job table of a daemon: deduplication, task states, hand-over to
+// upstreams, retries, cancellation and kept answers. Invariants: a task is
+// handed over again only after a result `kNotStarted`; an answer is given only
+// when every task has a final status. Single-threaded.
+class JobController {
+ public:
+  // Runs once, with the whole answer.
+  using AnswerCallback = std::function<void(const JobAnswer&)>;
+
+  JobController(const Clock& clock,
+                Random& random,
+                Scheduler& scheduler,
+                UpstreamRegistry& upstreams,
+                UpstreamClient& client,
+                Metrics& metrics,
+                Timeline& timeline);
+  ~JobController();
+
+  // True if the key is remembered, whatever its body.
+  bool Knows(std::string_view key) const;
+  // Joins a remembered job: calls back with its answer when it is whole, or at
+  // once with a conflict error if the body or the environment differs. Returns
+  // false if the key is not remembered.
+  bool Join(const JobSpec& job, AnswerCallback callback);
+  // Accepts a new job, or refuses it whole (`kNotRun`) without remembering it.
+  // The caller has established ownership of the key in the same turn.
+  void Accept(JobSpec job,
+              std::shared_ptr<const VersionedDocument> document,
+              AnswerCallback callback);
+  // The present state of a job; nullopt if the key is not remembered.
+  std::optional<JobAnswer> Find(std::string_view key) const;
+  // Drops queued tasks; tasks in progress are awaited. False if not remembered.
+  bool Cancel(std::string_view key);
+
+  // Places tasks, ends jobs past their deadline, forgets keys past the
+  // resubmission window. Call it after each event and at least every 10 ms
+  // while jobs are in progress.
+  void Tick();
+
+  // For a handover: all remembered range-bound keys.
+  std::vector<RememberedKey> Remembered() const;
+  // Keys of a predecessor. One that was not finished is answered "unknown".
+  void Import(const std::vector<RememberedKey>& keys);
+
+  size_t jobs_in_progress() const;
+  size_t remembered_keys() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace radishrail
+
+#endif  // RADISHRAIL_JOB_CONTROLLER_H_
--- /dev/null
+++ b/include/radishrail/job_key.h
@@ -0,0 +1,50 @@
+#ifndef RADISHRAIL_JOB_KEY_H_
+#define RADISHRAIL_JOB_KEY_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "radishrail/error.h"
+
+namespace radishrail {
+
+inline constexpr size_t kMaxKeyBytes = 128;
+inline constexpr uint32_t kRangesPerFailureDomain = 64;
+
+enum class KeyForm {
+  kMinted,   // bound to one incarnation of one vm
+  kStamped,  // chosen by the caller, with a time stamp
+  kPlain,    // chosen by the caller
+};
+
+// A job key taken apart.
+struct JobKey {
+  std::string text;
+  KeyForm form = KeyForm::kPlain;
+  std::string failure_domain;  // resolved, never empty
+  std::string vm;              // kMinted only
+  uint64_t incarnation = 0;    // kMinted only
+  absl::Time stamp;            // kStamped only
+  uint32_t range = 0;          // kStamped and kPlain only
+};
+
+// Parses a key. A key that names no failure domain is hashed over
+// `failure_domains`, which must be the same list on all daemons.
+std::optional<JobKey> ParseJobKey(
+    std::string_view text,
+    const std::vector<std::string>& failure_domains,
+    Error* error);
+
+// Builds "k1.<failure_domain>.<vm>.<incarnation>.<random>".
+std::string MintJobKey(std::string_view failure_domain,
+                       std::string_view vm,
+                       uint64_t incarnation,
+                       std::string_view random);
+
+}  // namespace radishrail
+
+#endif  // RADISHRAIL_JOB_KEY_H_
--- /dev/null
+++ b/include/radishrail/ownership.h
@@ -0,0 +1,86 @@
+#ifndef RADISHRAIL_OWNERSHIP_H_
+#define RADISHRAIL_OWNERSHIP_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "radishrail/clock.h"
+#include "radishrail/error.h"
+#include "radishrail/job_key.h"
+#include "radishrail/membership.h"
+#include "radishrail/peer_message.h"
+#include "radishrail/peer_transport.h"
+#include "radishrail/store.h"
+
+namespace radishrail {
+
+struct OwnershipSettings {
+  std::string failure_domain;
+  std::string vm;
+  uint64_t incarnation = 0;
+  absl::Duration lease_length = absl::Seconds(10);
+  absl::Duration renew_interval = absl::Seconds(3);
+  absl::Duration takeover_margin = absl::Seconds(2);
+  absl::Duration max_clock_skew = absl::Seconds(1);
+};
+
+enum class OwnershipVerdict {
+  kAccept,   // this daemon may accept a job under the key now
+  kForward,  // another daemon owns the key
+  kNotRun,   // nobody may accept it now; it certainly was not run here
+  kUnknown,  // a predecessor may have run it
+};
+
+struct OwnershipDecision {
+  OwnershipVerdict verdict = OwnershipVerdict::kNotRun;
+  MemberRecord target;  // kForward only
+  Error error;          // kNotRun and kUnknown only
+  absl::Duration retry_after = absl::ZeroDuration();
+};
+
+// Decides which incarnation may accept a key: holds and renews this daemon's
+// lease, gives and collects promises, takes over ranges of lapsed owners and
+// hands ranges over. Section 3 of docs/design.md has the rules and the safety
+// argument. Single-threaded.
+class OwnershipController {
+ public:
+  OwnershipController(const OwnershipSettings& settings,
+                      const Clock& clock,
+                      Store& store,
+                      PeerTransport& transport,
+                      const Membership& membership);
+  ~OwnershipController();
+
+  // Renews, observes, requests promises and takes over when due. Call it at
+  // least every 250 ms.
+  void Tick();
+  void OnPeerMessage(const MemberRecord& sender, const PeerMessage& message);
+
+  // Decides on a key that is not in the job table of this daemon. The caller
+  // must accept the job in the same turn of the control thread.
+  OwnershipDecision Resolve(const JobKey& key) const;
+  bool IsLeaseValid() const;
+  // True if this daemon owns the range and its lease is valid.
+  bool OwnsRange(uint32_t range) const;
+  std::vector<uint32_t> OwnedRanges() const;
+
+  // Stops accepting range-bound keys, hands the ranges and `keys` to a
+  // successor and releases the lease. Progress through `Tick`.
+  void BeginHandover(std::vector<RememberedKey> keys);
+  // True when the handover is complete or there is nobody to hand over to.
+  bool handover_finished() const;
+  // Keys received from a predecessor since the last call.
+  std::vector<RememberedKey> TakeReceivedKeys();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace radishrail
+
+#endif  // RADISHRAIL_OWNERSHIP_H_
--- /dev/null
+++ b/include/radishrail/peer_message.h
@@ -0,0 +1,251 @@
+#ifndef RADISHRAIL_PEER_MESSAGE_H_
+#define RADISHRAIL_PEER_MESSAGE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "msgpack.hpp"
+#include "radishrail/error.h"
+
+namespace radishrail {
+
+// Lifecycle of a daemon as its peers see it.
+enum class MemberState {
+  kStarting,
+  kReady,
+  kDraining,
+  kGone,
+  kMaxValue = kGone,
+};
+
+std::string_view MemberStateName(MemberState state);
+
+// What a daemon tells about itself or passes on about another member. A higher
+// incarnation replaces a lower one of the same vm; within an incarnation, the
+// higher sequence wins.
+struct MemberRecord {
+  std::string vm;
+  uint64_t incarnation = 0;
+  uint64_t sequence = 0;
+  std::string failure_domain;
+  std::string peer_address;  // "ip:port"
+  MemberState state = MemberState::kStarting;
+  uint32_t weight = 1;  // relative size of the vm
+  MSGPACK_DEFINE(vm,
+                 incarnation,
+                 sequence,
+                 failure_domain,
+                 peer_address,
+                 state,
+                 weight);
+};
+
+// First message on a connection, in both directions.
+struct Hello {
+  MemberRecord sender;
+  std::string cluster_key;
+  MSGPACK_DEFINE(sender, cluster_key);
+};
+
+// Membership heartbeat; at most 256 bytes encoded with 4 records.
+struct Heartbeat {
+  MemberRecord sender;
+  int64_t document_revision = 0;
+  std::vector<MemberRecord> others;
+  MSGPACK_DEFINE(sender, document_revision, others);
+};
+
+// Asks the owner of key ranges to count the sender among the peers whose
+// promise it needs.
+struct AcknowledgeRequest {
+  uint64_t incarnation = 0;        // of the sender
+  uint64_t owner_incarnation = 0;  // of the receiver, as the sender knows it
+  MSGPACK_DEFINE(incarnation, owner_incarnation);
+};
+
+struct AcknowledgeReply {
+  uint64_t incarnation = 0;  // of the acknowledged peer
+  uint64_t owner_incarnation = 0;
+  MSGPACK_DEFINE(incarnation, owner_incarnation);
+};
+
+// Asks for a promise not to take over the sender's key ranges.
+struct PromiseRequest {
+  uint64_t owner_incarnation = 0;
+  uint64_t request = 0;
+  MSGPACK_DEFINE(owner_incarnation, request);
+};
+
+struct PromiseReply {
+  uint64_t owner_incarnation = 0;
+  uint64_t request = 0;
+  bool granted = false;
+  MSGPACK_DEFINE(owner_incarnation, request, granted);
+};
+
+// Asks an owner directly whether its lease is valid, before a takeover.
+struct OwnerProbe {
+  uint64_t owner_incarnation = 0;
+  MSGPACK_DEFINE(owner_incarnation);
+};
+
+struct OwnerProbeReply {
+  uint64_t owner_incarnation = 0;
+  bool lease_valid = false;
+  MSGPACK_DEFINE(owner_incarnation, lease_valid);
+};
+
+// The sender stops for good: its incarnation accepts nothing any more.
+struct Leave {
+  uint64_t incarnation = 0;
+  MSGPACK_DEFINE(incarnation);
+};
+
+// One remembered key in a handover of ranges.
+struct RememberedKey {
+  std::string key;
+  std::string environment;
+  uint64_t body_hash = 0;
+  bool finished = false;
+  int64_t accepted_unix_ms = 0;
+  std::string answer_json;  // empty while the job is running
+  MSGPACK_DEFINE(key,
+                 environment,
+                 body_hash,
+                 finished,
+                 accepted_unix_ms,
+                 answer_json);
+};
+
+// A part of a handover; the receiver replies after the part marked `last`.
+struct RangeHandover {
+  uint64_t incarnation = 0;  // of the sender
+  std::vector<uint32_t> ranges;
+  std::vector<RememberedKey> keys;
+  bool last = false;
+  MSGPACK_DEFINE(incarnation, ranges, keys, last);
+};
+
+struct RangeHandoverReply {
+  uint64_t incarnation = 0;  // of the daemon that hands over
+  bool accepted = false;
+  MSGPACK_DEFINE(incarnation, accepted);
+};
+
+enum class ForwardMethod { kSubmit, kStatus, kCancel, kMaxValue = kCancel };
+
+// A caller's request on its way to the owner of its key. The receiver
+// deduplicates by key, so that sending it again is idempotent.
+struct ForwardRequest {
+  uint64_t request = 0;
+  ForwardMethod method = ForwardMethod::kSubmit;
+  std::string key;
+  std::string token;
+  std::string body;
+  uint32_t hops = 0;
+  MSGPACK_DEFINE(request, method, key, token, body, hops);
+};
+
+struct ForwardReply {
+  uint64_t request = 0;
+  int http_status = 0;
+  std::string body;
+  MSGPACK_DEFINE(request, http_status, body);
+};
+
+// Asks for all accepted document changes after a revision.
+struct DocumentPull {
+  int64_t after_revision = 0;
+  MSGPACK_DEFINE(after_revision);
+};
+
+struct DocumentChange {
+  int64_t revision = 0;
+  std::string environment;
+  std::string stage;  // "trial" or "production"
+  int64_t version = 0;
+  std::string body;
+  MSGPACK_DEFINE(revision, environment, stage, version, body);
+};
+
+struct DocumentPush {
+  int64_t revision = 0;  // the sender's revision; complete up to it if `last`
+  std::vector<DocumentChange> changes;
+  bool last = true;
+  MSGPACK_DEFINE(revision, changes, last);
+};
+
+// Asks the home daemon of upstreams for slots.
+struct SlotRequest {
+  std::string upstream;  // empty: any of the receiver's upstreams
+  uint32_t wanted = 0;
+  uint32_t queued = 0;  // demand behind this request
+  MSGPACK_DEFINE(upstream, wanted, queued);
+};
+
+struct SlotLoan {
+  std::string upstream;
+  uint32_t slots = 0;
+  MSGPACK_DEFINE(upstream, slots);
+};
+
+// Lends slots for `duration_ms` from receipt.
+struct SlotGrant {
+  std::vector<SlotLoan> loans;
+  uint32_t duration_ms = 0;
+  MSGPACK_DEFINE(loans, duration_ms);
+};
+
+struct SlotReturn {
+  std::vector<SlotLoan> loans;
+  MSGPACK_DEFINE(loans);
+};
+
+// Tells peers which upstreams leave.
+struct UpstreamLeaving {
+  std::string upstream;
+  MSGPACK_DEFINE(upstream);
+};
+
+// New kinds are added at the end: the index is the type on the wire.
+using PeerMessage = std::variant<Hello,
+                                 Heartbeat,
+                                 AcknowledgeRequest,
+                                 AcknowledgeReply,
+                                 PromiseRequest,
+                                 PromiseReply,
+                                 OwnerProbe,
+                                 OwnerProbeReply,
+                                 Leave,
+                                 RangeHandover,
+                                 RangeHandoverReply,
+                                 ForwardRequest,
+                                 ForwardReply,
+                                 DocumentPull,
+                                 DocumentPush,
+                                 SlotRequest,
+                                 SlotGrant,
+                                 SlotReturn,
+                                 UpstreamLeaving>;
+
+// Upper bound of one frame's payload; larger transfers are sent in parts.
+inline constexpr size_t kMaxPeerFrameBytes = 8 * 1024 * 1024;
+
+// Encodes a message without the length prefix.
+std::string EncodePeerMessage(const PeerMessage& message);
+// Decodes the payload of one frame; never throws and never reads past
+// `payload`.
+std::optional<PeerMessage> DecodePeerMessage(std::string_view payload,
+                                             Error* error);
+std::string_view PeerMessageName(const PeerMessage& message);
+
+}  // namespace radishrail
+
+MSGPACK_ADD_ENUM(radishrail::MemberState);
+MSGPACK_ADD_ENUM(radishrail::ForwardMethod);
+
+#endif  // RADISHRAIL_PEER_MESSAGE_H_
--- /dev/null
+++ b/include/radishrail/scheduler.h
@@ -0,0 +1,101 @@
+#ifndef RADISHRAIL_SCHEDULER_H_
+#define RADISHRAIL_SCHEDULER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "radishrail/error.h"
+
+namespace radishrail {
+
+// Identifies a task within a daemon: the job's local number and the task's
+// position in the job.
+struct TaskRef {
+  uint64_t job = 0;
+  uint32_t task = 0;
+  friend bool operator==(const TaskRef&, const TaskRef&) = default;
+};
+
+// Small dense number of an upstream within a daemon.
+using UpstreamId = uint32_t;
+
+struct TaskDemand {
+  std::string kind;
+  absl::Duration declared_run = absl::ZeroDuration();
+  int slots = 1;
+};
+
+// What the scheduler needs to know about a job.
+struct JobDemand {
+  uint64_t job = 0;
+  std::string environment;
+  std::string team;
+  std::vector<std::string> upstream_classes;  // empty: any
+  std::vector<TaskDemand> tasks;
+  absl::Time promise_by;  // monotonic; arrival plus the promised response time
+  absl::Time start_by;    // monotonic; no task is placed later
+  int team_share = 1;
+  int team_max_running_tasks = 0;  // 0: no limit
+  int max_queued_tasks = 0;        // of the environment; 0: no limit
+};
+
+struct UpstreamCapacity {
+  UpstreamId upstream = 0;
+  std::string upstream_class;
+  std::string failure_domain;
+  bool same_failure_domain = true;
+  int slots = 0;          // slots that this daemon may use now
+  bool accepting = true;  // false: leaving or ejected, no new work
+  double speed = 1.0;     // learned, relative to the mean; higher is faster
+};
+
+struct Placement {
+  TaskRef task;
+  UpstreamId upstream = 0;
+};
+
+struct Refusal {
+  Error error;
+  absl::Duration retry_after;
+};
+
+// Decides which jobs are admitted and which task starts next where. Does no
+// I/O; single-threaded. Ids of unknown jobs are ignored.
+class Scheduler {
+ public:
+  virtual ~Scheduler() = default;
+
+  // Takes the job whole or refuses it whole.
+  virtual std::optional<Refusal> Admit(const JobDemand& demand) = 0;
+  // The next placement, or nullopt if nothing can be placed now. The slots are
+  // occupied until `Finish` or `Requeue`.
+  virtual std::optional<Placement> Next() = 0;
+  // Puts back a placed task that certainly did not start. `not_before` delays
+  // its next placement (backoff); `avoid` is not chosen for it again if another
+  // upstream can take it.
+  virtual void Requeue(TaskRef task,
+                       absl::Time not_before,
+                       std::optional<UpstreamId> avoid) = 0;
+  // A placed task ended. `run_time` is nullopt unless it completed.
+  virtual void Finish(TaskRef task, std::optional<absl::Duration> run_time) = 0;
+  // Drops all queued tasks of a job; amortised constant time per task. Placed
+  // tasks keep their slots until `Finish`.
+  virtual void Remove(uint64_t job) = 0;
+  // Jobs of which no task was ever placed and which can no longer meet their
+  // promise under the present load. The caller removes and refuses them.
+  virtual std::vector<uint64_t> TakeHopeless() = 0;
+
+  // Adds or updates an upstream.
+  virtual void SetUpstream(const UpstreamCapacity& capacity) = 0;
+  virtual void RemoveUpstream(UpstreamId upstream) = 0;
+
+  virtual size_t queued_tasks() const = 0;
+  virtual size_t running_tasks() const = 0;
+};
+
+}  // namespace radishrail
+
+#endif  // RADISHRAIL_SCHEDULER_H_
--- /dev/null
+++ b/include/radishrail/settings.h
@@ -0,0 +1,71 @@
+#ifndef RADISHRAIL_SETTINGS_H_
+#define RADISHRAIL_SETTINGS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "radishrail/error.h"
+#include "radishrail/log.h"
+
+namespace radishrail {
+
+// Settings of one daemon, read from an INI file.
+struct Settings {
+  // [daemon]
+  std::string vm;                            // required
+  std::string failure_domain;                // required
+  std::vector<std::string> failure_domains;  // required, same on all daemons
+  uint32_t weight = 1;
+  std::string caller_address = "127.0.0.1:7300";
+  std::string operator_address = "127.0.0.1:7301";
+  std::string peer_address = "127.0.0.1:7302";
+  int caller_threads = 4;
+  int upstream_threads = 4;
+  LogLevel log_level = LogLevel::kInfo;
+  size_t timeline_events = 20000;
+
+  // [platform]
+  std::string platform_address = "127.0.0.1:7400";
+  absl::Duration platform_timeout = absl::Seconds(2);
+  absl::Duration vm_list_interval = absl::Seconds(1);
+
+  // [peers]
+  std::vector<std::string> seeds;
+  std::string cluster_key;  // required
+
+  // [operators]
+  std::string operator_token;  // required
+
+  // [lease]
+  absl::Duration lease_length = absl::Seconds(10);
+  absl::Duration lease_renew_interval = absl::Seconds(3);
+
+  // [drain]
+  absl::Duration drain_balancer_delay = absl::Seconds(2);
+  absl::Duration drain_timeout = absl::Seconds(60);
+
+  // [requests]
+  size_t max_body_bytes = 4 * 1024 * 1024;
+  int max_connections = 4096;
+  absl::Duration idle_timeout = absl::Seconds(10);
+};
+
+// Reads a settings file. An error names file, section, key, line and what is
+// allowed; unknown keys and sections are errors.
+std::optional<Settings> LoadSettings(const std::string& path, Error* error);
+std::optional<Settings> ParseSettings(std::string_view text,
+                                      const std::string& name,
+                                      Error* error);
+// The effective settings as INI, with secrets replaced.
+std::string RenderSettings(const Settings& settings);
+// Markdown table of all keys: type, unit, range, default. Printed by
+// `radishrail config reference`; docs/configuration.md contains it.
+std::string SettingsReference();
+
+}  // namespace radishrail
+
+#endif  // RADISHRAIL_SETTINGS_H_
--- /dev/null
+++ b/include/radishrail/store.h
@@ -0,0 +1,90 @@
+#ifndef RADISHRAIL_STORE_H_
+#define RADISHRAIL_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "radishrail/error.h"
+
+namespace radishrail {
+
+// A row of the platform's table. Version 0 means that the row is absent; the
+// platform increases the version with each write.
+struct Row {
+  std::string key;
+  std::string value;
+  int64_t version = 0;
+};
+
+struct RowCheck {
+  std::string key;
+  int64_t version = 0;  // 0: the row must be absent
+};
+
+struct RowWrite {
+  std::string key;
+  std::optional<std::string> value;  // nullopt deletes the row
+};
+
+// All writes are applied if all checks hold, otherwise none.
+struct Transaction {
+  std::vector<RowCheck> checks;
+  std::vector<RowWrite> writes;
+};
+
+enum class TransactionOutcome {
+  kCommitted,
+  kConflict,  // a check did not hold; nothing was written
+  kUnknown,   // no answer: may have been committed, or may still be
+};
+
+enum class VmRole { kEntry, kUpstream };
+enum class VmState { kLive, kLeaving };
+
+// One entry of the platform's lagging list of VMs.
+struct VmInfo {
+  std::string vm;
+  VmRole role = VmRole::kUpstream;
+  std::string address;  // "ip:port"; of an entry VM, that of its peer listener
+  std::string failure_domain;
+  VmState state = VmState::kLive;
+  std::string upstream_class;
+  int slots = 0;
+};
+
+// The platform's table, object store and VM list. Calls do not block; each
+// callback runs exactly once, on the control thread. nullopt with an error
+// means that the platform could not be read.
+class Store {
+ public:
+  using ReadCallback = std::function<void(std::optional<Row>, Error)>;
+  using ListCallback =
+      std::function<void(std::optional<std::vector<Row>>, Error)>;
+  // `conflict` names the row whose check did not hold.
+  using TransactCallback =
+      std::function<void(TransactionOutcome, std::string conflict, Error)>;
+  using ObjectCallback = std::function<void(std::optional<std::string>, Error)>;
+  using VmCallback =
+      std::function<void(std::optional<std::vector<VmInfo>>, Error)>;
+
+  virtual ~Store() = default;
+  // An absent row is a row of version 0, not an error.
+  virtual void Read(const std::string& key, ReadCallback callback) = 0;
+  // All rows whose key begins with `prefix`, in the order of their keys.
+  virtual void List(const std::string& prefix, ListCallback callback) = 0;
+  virtual void Transact(Transaction transaction, TransactCallback callback) = 0;
+  virtual void GetObject(const std::string& name, ObjectCallback callback) = 0;
+  // Passes the stored body back. Objects are written once under a new name, so
+  // a repeated write is idempotent.
+  virtual void PutObject(const std::string& name,
+                         std::string body,
+                         ObjectCallback callback) = 0;
+  virtual void ListVms(VmCallback callback) = 0;
+};
+
+}  // namespace radishrail
+
+#endif  // RADISHRAIL_STORE_H_
--- /dev/null
+++ b/include/radishrail/upstream_client.h
@@ -0,0 +1,55 @@
+#ifndef RADISHRAIL_UPSTREAM_CLIENT_H_
+#define RADISHRAIL_UPSTREAM_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "absl/time/time.h"
+#include "radishrail/error.h"
+
+namespace radishrail {
+
+// One hand-over of a task to an upstream.
+struct TaskStart {
+  std::string job_key;
+  std::string task_id;
+  int attempt = 1;
+  std::string kind;
+  std::string payload;
+  std::string address;  // "ip:port" of the upstream
+  // The client checks `start_by_monotonic` once more right before it sends.
+  absl::Time start_by_monotonic;
+  absl::Time start_by_wall;
+  // Time after which the outcome is reported as unknown.
+  absl::Duration timeout;
+};
+
+enum class TaskOutcome {
+  kDone,
+  kFailed,      // the upstream ran it and reported a failure
+  kNotStarted,  // certainly not started: no byte sent, or the upstream said so
+  kUnknown,     // may have started
+};
+
+struct TaskResult {
+  TaskOutcome outcome = TaskOutcome::kUnknown;
+  std::string output;
+  Error error;
+  absl::Duration run_time = absl::ZeroDuration();  // measured by the upstream
+  bool upstream_leaving = false;
+};
+
+// Starts tasks on upstreams over HTTP.
+class UpstreamClient {
+ public:
+  using Callback = std::function<void(TaskResult)>;
+
+  virtual ~UpstreamClient() = default;
+  // Does not block; `callback` runs exactly once, on the control thread.
+  virtual void Start(TaskStart start, Callback callback) = 0;
+};
+
+}  // namespace radishrail
+
+#endif  // RADISHRAIL_UPSTREAM_CLIENT_H_
