--- a/include/radishrail/peer_message.h
+++ b/include/radishrail/peer_message.h
@@ -154,7 +154,8 @@
   uint64_t request = 0;
   int http_status = 0;
   std::string body;
-  MSGPACK_DEFINE(request, http_status, body);
+  uint32_t retry_after_ms = 0;
+  MSGPACK_DEFINE(request, http_status, body, retry_after_ms);
 };
 
 // Asks for all accepted document changes after a revision.
@@ -179,32 +180,30 @@
   MSGPACK_DEFINE(revision, changes, last);
 };
 
-// Asks the home daemon of upstreams for slots.
-struct SlotRequest {
-  std::string upstream;  // empty: any of the receiver's upstreams
-  uint32_t wanted = 0;
-  uint32_t queued = 0;  // demand behind this request
-  MSGPACK_DEFINE(upstream, wanted, queued);
-};
-
 struct SlotLoan {
   std::string upstream;
   uint32_t slots = 0;
   MSGPACK_DEFINE(upstream, slots);
 };
 
-// Lends slots for `duration_ms` from receipt.
+// Asks a home daemon to renew the loans in `keep` and to lend `wanted` more
+// slots. Loans that are not in `keep` are returned by this message.
+struct SlotRequest {
+  std::vector<SlotLoan> keep;
+  uint32_t wanted = 0;
+  uint32_t queued = 0;  // queued tasks of the sender
+  uint32_t slots = 0;   // slots that the sender may use at present
+  MSGPACK_DEFINE(keep, wanted, queued, slots);
+};
+
+// All loans of the sender to the receiver, valid for `duration_ms` from
+// receipt.
 struct SlotGrant {
   std::vector<SlotLoan> loans;
   uint32_t duration_ms = 0;
   MSGPACK_DEFINE(loans, duration_ms);
 };
 
-struct SlotReturn {
-  std::vector<SlotLoan> loans;
-  MSGPACK_DEFINE(loans);
-};
-
 // Tells peers which upstreams leave.
 struct UpstreamLeaving {
   std::string upstream;
@@ -229,7 +228,6 @@
                                  DocumentPush,
                                  SlotRequest,
                                  SlotGrant,
-                                 SlotReturn,
                                  UpstreamLeaving>;
 
 // Upper bound of one frame's payload; larger transfers are sent in parts.
--- a/include/radishrail/slot_broker.h
+++ b/include/radishrail/slot_broker.h
@@ -12,10 +12,14 @@
 #include "radishrail/membership.h"
 #include "radishrail/peer_message.h"
 #include "radishrail/peer_transport.h"
+#include "radishrail/random.h"
 
 namespace radishrail {
 
 inline constexpr absl::Duration kSlotLoanLength = absl::Seconds(2);
+// Bounds the control traffic of a daemon: 40 requests/s of about 50 bytes and
+// as many grants of about 100 bytes stay below 8 KB/s.
+inline constexpr int kMaxSlotRequestsPerSecond = 40;
 
 // Slots of an upstream that this daemon may use now.
 struct SlotAllowance {
@@ -23,19 +27,21 @@
   int slots = 0;
 };
 
-// Demand and use of this daemon, as the scheduler knows it.
+// Tasks of this daemon that occupy slots of an upstream.
 struct SlotUse {
   std::string upstream;
   int running = 0;
 };
 
 // Shares the slots of upstreams between daemons. Each upstream has a home
-// daemon in its failure domain (rendezvous hash over the live members); the
-// home lends slots for `kSlotLoanLength`. Soft state: two homes at once lead to
+// daemon in its failure domain (rendezvous hash over the live members). The
+// home uses its slots itself and lends idle ones, for `kSlotLoanLength`, to
+// daemons that have queued tasks. Soft state: two homes at once lead to
 // refusals by the upstream, never to a second start. Single-threaded.
 class SlotBroker {
  public:
   SlotBroker(const Clock& clock,
+             Random& random,
              PeerTransport& transport,
              const Membership& membership);
   ~SlotBroker();
@@ -45,16 +51,19 @@
                    const std::string& failure_domain,
                    int slots);
   void RemoveUpstream(const std::string& upstream);
-  // Tells the present demand; call it before each `Tick`.
-  void SetDemand(int queued_tasks, std::vector<SlotUse> use);
-  // Recomputes homes, requests, renews and returns loans. Call it every 50 ms
-  // while tasks are queued, at least every 500 ms otherwise.
+  // The present demand; to be given before each `Tick`.
+  void SetDemand(int queued_tasks, const std::vector<SlotUse>& use);
+  // Recomputes homes, requests, renews and returns loans. Call it every 50 ms.
   void Tick();
   void OnPeerMessage(const MemberRecord& sender, const PeerMessage& message);
 
   // Allowances that changed since the last call.
   std::vector<SlotAllowance> TakeChanges();
 
+  // Requests and grants sent, and requests that were granted no slot.
+  uint64_t messages_sent() const;
+  uint64_t empty_grants() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/peer_message.cc
+++ b/src/peer_message.cc
@@ -31,7 +31,6 @@
                      "document_push",
                      "slot_request",
                      "slot_grant",
-                     "slot_return",
                      "upstream_leaving"};
 
 // A frame's payload is an array of the message's type and its fields.
--- /dev/null
+++ b/src/slot_broker.cc
@@ -0,0 +1,554 @@
+#include "radishrail/slot_broker.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <map>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace radishrail {
+
+namespace {
+
+// The home counts a loan longer than the borrower, which counts from receipt:
+// the difference covers the transmission.
+constexpr absl::Duration kLoanGrace = absl::Milliseconds(200);
+// Loans are renewed at this age, so that one lost renewal does not end them.
+constexpr absl::Duration kRenewAfter = absl::Milliseconds(700);
+// A home that granted nothing is not asked again for this time.
+constexpr absl::Duration kEmptyGrantBackoff = absl::Milliseconds(200);
+// A reservation for a requester ends unless the request is repeated.
+constexpr absl::Duration kReservationLength = absl::Milliseconds(600);
+constexpr size_t kHomesAskedPerTick = 2;
+
+uint64_t RendezvousScore(const std::string& upstream, const MemberRecord& it) {
+  const std::string text = absl::StrCat(upstream, "/", it.vm);
+  return XXH64(text.data(), text.size(), 0);
+}
+
+}  // namespace
+
+class SlotBroker::Impl {
+ public:
+  Impl(const Clock& clock,
+       Random& random,
+       PeerTransport& transport,
+       const Membership& membership)
+      : clock_(clock),
+        random_(random),
+        transport_(transport),
+        membership_(membership) {}
+
+  void SetUpstream(const std::string& name,
+                   const std::string& failure_domain,
+                   int slots) {
+    Upstream& upstream = upstreams_[name];
+    upstream.failure_domain = failure_domain;
+    upstream.slots = slots;
+    members_hash_ = 0;  // recompute the homes at the next tick
+  }
+
+  void RemoveUpstream(const std::string& name) {
+    const auto it = upstreams_.find(name);
+    if (it != upstreams_.end()) {
+      Publish(name, 0);
+      published_.erase(name);
+      upstreams_.erase(it);
+    }
+  }
+
+  void SetDemand(int queued_tasks, const std::vector<SlotUse>& use) {
+    queued_ = queued_tasks;
+    for (auto& [name, upstream] : upstreams_) {
+      upstream.running = 0;
+    }
+    for (const auto& it : use) {
+      const auto found = upstreams_.find(it.upstream);
+      if (found != upstreams_.end()) {
+        found->second.running = it.running;
+      }
+    }
+  }
+
+  void Tick() {
+    const absl::Time now = clock_.Monotonic();
+    RefillBudget(now);
+    RecomputeHomes();
+    ExpireLoans(now);
+    PublishAllowances();
+    RenewLoans(now);
+    BorrowSlots(now);
+  }
+
+  void OnRequest(const MemberRecord& sender, const SlotRequest& request) {
+    const absl::Time now = clock_.Monotonic();
+    KeepLoans(sender.vm, request.keep, now);
+    LendIdleSlots(sender.vm, request, now);
+    SlotGrant grant;
+    grant.duration_ms =
+        static_cast<uint32_t>(absl::ToInt64Milliseconds(kSlotLoanLength));
+    for (const auto& [name, upstream] : upstreams_) {
+      const auto it = upstream.lent.find(sender.vm);
+      if (it != upstream.lent.end() && it->second.slots > 0) {
+        grant.loans.push_back({name, static_cast<uint32_t>(it->second.slots)});
+      }
+    }
+    ++messages_sent_;
+    transport_.Send(sender.peer_address, grant);
+    PublishAllowances();
+  }
+
+  void OnGrant(const MemberRecord& sender, const SlotGrant& grant) {
+    const absl::Time now = clock_.Monotonic();
+    Home& home = homes_[sender.vm];
+    home.answered = true;
+    if (home.wanted > 0 && grant.loans.empty()) {
+      ++empty_grants_;
+      home.ask_again =
+          now + kEmptyGrantBackoff + absl::Milliseconds(random_.Below(100));
+    }
+    for (auto& [name, upstream] : upstreams_) {
+      if (upstream.lender == sender.vm) {
+        upstream.borrowed = 0;
+      }
+    }
+    for (const auto& it : grant.loans) {
+      const auto found = upstreams_.find(it.upstream);
+      if (found == upstreams_.end() || found->second.home == self()) {
+        continue;
+      }
+      found->second.lender = sender.vm;
+      // A home never lends more slots than the upstream has.
+      found->second.borrowed = std::min<int>(
+          static_cast<int>(std::min<uint32_t>(it.slots, 1U << 20)),
+          found->second.slots);
+      found->second.borrowed_until =
+          now +
+          std::min(kSlotLoanLength, absl::Milliseconds(grant.duration_ms));
+      found->second.renew_at = now + kRenewAfter;
+    }
+    PublishAllowances();
+  }
+
+  std::vector<SlotAllowance> TakeChanges() {
+    return std::exchange(changes_, {});
+  }
+
+  uint64_t messages_sent() const { return messages_sent_; }
+  uint64_t empty_grants() const { return empty_grants_; }
+
+ private:
+  struct Loan {
+    int slots = 0;
+    absl::Time until;
+  };
+
+  struct Upstream {
+    std::string failure_domain;
+    int slots = 0;
+    std::string home;
+    int running = 0;  // tasks of this daemon
+    // As the home: what is lent, and what is held back for requesters.
+    std::map<std::string, Loan> lent;
+    std::map<std::string, Loan> reserved;
+    // As a borrower.
+    std::string lender;
+    int borrowed = 0;
+    absl::Time borrowed_until = absl::InfinitePast();
+    absl::Time renew_at = absl::InfiniteFuture();
+  };
+
+  // What this daemon knows about another home daemon.
+  struct Home {
+    int wanted = 0;
+    bool answered = true;
+    absl::Time ask_again = absl::InfinitePast();
+  };
+
+  const std::string& self() const { return membership_.self().vm; }
+
+  static int Sum(const std::map<std::string, Loan>& loans) {
+    int n = 0;
+    for (const auto& [vm, loan] : loans) {
+      n += loan.slots;
+    }
+    return n;
+  }
+
+  int Allowance(const Upstream& upstream) const {
+    if (upstream.home == self()) {
+      return std::max(
+          0, upstream.slots - Sum(upstream.lent) - Sum(upstream.reserved));
+    }
+    return upstream.borrowed;
+  }
+
+  // Slots of a home upstream that nobody uses. Reserved slots count as idle:
+  // they are held back to be lent.
+  int IdleSlots(const Upstream& upstream) const {
+    return std::max(0, upstream.slots - Sum(upstream.lent) - upstream.running);
+  }
+
+  int TotalAllowance() const {
+    int n = 0;
+    for (const auto& [name, upstream] : upstreams_) {
+      n += Allowance(upstream);
+    }
+    return n;
+  }
+
+  void RefillBudget(absl::Time now) {
+    if (last_refill_ != absl::InfinitePast()) {
+      request_budget_ +=
+          absl::ToDoubleSeconds(now - last_refill_) * kMaxSlotRequestsPerSecond;
+    }
+    last_refill_ = now;
+    request_budget_ =
+        std::min<double>(request_budget_, kMaxSlotRequestsPerSecond / 4.0);
+  }
+
+  bool TakeBudget() {
+    if (request_budget_ < 1.0) {
+      return false;
+    }
+    request_budget_ -= 1.0;
+    return true;
+  }
+
+  // Homes depend on the reachable members only; they are recomputed when that
+  // set or the set of upstreams changed.
+  void RecomputeHomes() {
+    std::vector<MemberRecord> members = membership_.Reachable();
+    members.push_back(membership_.self());
+    uint64_t hash = 1;
+    for (const auto& it : members) {
+      if (it.state == MemberState::kReady || it.vm == self()) {
+        hash = XXH64(it.vm.data(), it.vm.size(), hash);
+      }
+    }
+    if (hash == members_hash_) {
+      return;
+    }
+    members_hash_ = hash;
+    for (auto& [name, upstream] : upstreams_) {
+      AssignHome(name, upstream, members);
+    }
+  }
+
+  void AssignHome(const std::string& name,
+                  Upstream& upstream,
+                  const std::vector<MemberRecord>& members) {
+    std::string home;
+    double best = -std::numeric_limits<double>::infinity();
+    for (const auto& it : members) {
+      const bool eligible =
+          it.failure_domain == upstream.failure_domain &&
+          (it.state == MemberState::kReady || it.vm == self());
+      if (!eligible) {
+        continue;
+      }
+      // Weighted rendezvous hashing: a vm twice the size is the home of twice
+      // as many upstreams.
+      const double unit =
+          (static_cast<double>(RendezvousScore(name, it) >> 11) + 1.0) *
+          0x1.0p-53;
+      const double score = static_cast<double>(it.weight) / -std::log(unit);
+      if (score > best) {
+        best = score;
+        home = it.vm;
+      }
+    }
+    if (home != upstream.home) {
+      upstream.home = home;
+      upstream.lent.clear();
+      upstream.reserved.clear();
+      upstream.borrowed = 0;
+      upstream.lender.clear();
+    }
+  }
+
+  void ExpireLoans(absl::Time now) {
+    for (auto& [name, upstream] : upstreams_) {
+      std::erase_if(upstream.lent,
+                    [&](const auto& it) { return it.second.until <= now; });
+      std::erase_if(upstream.reserved,
+                    [&](const auto& it) { return it.second.until <= now; });
+      if (upstream.borrowed > 0 && upstream.borrowed_until <= now) {
+        upstream.borrowed = 0;
+      }
+    }
+  }
+
+  void Publish(const std::string& name, int slots) {
+    int& published = published_[name];
+    if (published != slots) {
+      published = slots;
+      changes_.push_back({name, slots});
+    }
+  }
+
+  void PublishAllowances() {
+    for (const auto& [name, upstream] : upstreams_) {
+      Publish(name, Allowance(upstream));
+    }
+  }
+
+  void KeepLoans(const std::string& vm,
+                 const std::vector<SlotLoan>& keep,
+                 absl::Time now) {
+    for (auto& [name, upstream] : upstreams_) {
+      if (upstream.home != self()) {
+        continue;
+      }
+      const auto it =
+          std::find_if(keep.begin(), keep.end(),
+                       [&](const auto& loan) { return loan.upstream == name; });
+      if (it == keep.end()) {
+        upstream.lent.erase(vm);
+        continue;
+      }
+      // A loan that this daemon does not know was given by a former home; it
+      // is taken over as far as the upstream has the slots.
+      const int others =
+          Sum(upstream.lent) -
+          (upstream.lent.contains(vm) ? upstream.lent[vm].slots : 0);
+      const int kept = std::min<int>(
+          static_cast<int>(std::min<uint32_t>(it->slots, 1U << 20)),
+          upstream.slots - others);
+      if (kept > 0) {
+        upstream.lent[vm] = {kept, now + kSlotLoanLength + kLoanGrace};
+      } else {
+        upstream.lent.erase(vm);
+      }
+    }
+  }
+
+  // Slots that would equalise queued tasks per slot of both daemons:
+  // q_r / (s_r + x) = q_h / (s_h - x).
+  int FairLoan(const SlotRequest& request) const {
+    const double requester_queue = request.queued;
+    const double home_queue = queued_;
+    if (requester_queue <= 0) {
+      return 0;
+    }
+    const double home_slots = TotalAllowance();
+    const double x = (requester_queue * home_slots -
+                      home_queue * static_cast<double>(request.slots)) /
+                     (requester_queue + home_queue);
+    return std::clamp(static_cast<int>(x), 0, static_cast<int>(home_slots));
+  }
+
+  void LendIdleSlots(const std::string& vm,
+                     const SlotRequest& request,
+                     absl::Time now) {
+    for (auto& [name, upstream] : upstreams_) {
+      upstream.reserved.erase(vm);
+    }
+    int wanted = std::min<int>(
+        static_cast<int>(std::min<uint32_t>(request.wanted, 1U << 20)),
+        FairLoan(request));
+    std::vector<Upstream*> candidates;
+    for (auto& [name, upstream] : upstreams_) {
+      if (upstream.home == self()) {
+        candidates.push_back(&upstream);
+      }
+    }
+    std::stable_sort(candidates.begin(), candidates.end(),
+                     [this](const Upstream* a, const Upstream* b) {
+                       return IdleSlots(*a) > IdleSlots(*b);
+                     });
+    for (Upstream* it : candidates) {
+      const int n = std::min(wanted, LendableSlots(*it));
+      if (n > 0) {
+        Loan& loan = it->lent[vm];
+        loan = {loan.slots + n, now + kSlotLoanLength + kLoanGrace};
+        wanted -= n;
+      }
+    }
+    ReserveSlots(vm, wanted, candidates, now);
+  }
+
+  // Reserved slots of other requesters are not lent.
+  int LendableSlots(const Upstream& upstream) const {
+    return std::max(0, IdleSlots(upstream) - Sum(upstream.reserved));
+  }
+
+  // Holds back slots that are busy now, one per upstream in turn, so that they
+  // are idle when the requester asks again.
+  void ReserveSlots(const std::string& vm,
+                    int wanted,
+                    const std::vector<Upstream*>& candidates,
+                    absl::Time now) {
+    bool progress = true;
+    while (wanted > 0 && progress) {
+      progress = false;
+      for (Upstream* it : candidates) {
+        if (wanted > 0 && Allowance(*it) > 0) {
+          Loan& reservation = it->reserved[vm];
+          reservation = {reservation.slots + 1, now + kReservationLength};
+          --wanted;
+          progress = true;
+        }
+      }
+    }
+  }
+
+  // What this daemon still needs of the loans of a home: slots in use, and all
+  // of them while tasks are queued.
+  std::vector<SlotLoan> LoansToKeep(const std::string& home) const {
+    std::vector<SlotLoan> keep;
+    for (const auto& [name, upstream] : upstreams_) {
+      if (upstream.lender != home || upstream.borrowed == 0) {
+        continue;
+      }
+      const int n = queued_ > 0 ? upstream.borrowed
+                                : std::min(upstream.borrowed, upstream.running);
+      if (n > 0) {
+        keep.push_back({name, static_cast<uint32_t>(n)});
+      }
+    }
+    return keep;
+  }
+
+  bool Request(const MemberRecord& home, int wanted) {
+    if (!TakeBudget()) {
+      return false;
+    }
+    SlotRequest request;
+    request.keep = LoansToKeep(home.vm);
+    request.wanted = static_cast<uint32_t>(wanted);
+    request.queued = static_cast<uint32_t>(queued_);
+    request.slots = static_cast<uint32_t>(TotalAllowance());
+    // Loans that are returned must not be used after the message is sent.
+    for (auto& [name, upstream] : upstreams_) {
+      if (upstream.lender == home.vm && queued_ == 0) {
+        upstream.borrowed = std::min(upstream.borrowed, upstream.running);
+      }
+    }
+    Home& state = homes_[home.vm];
+    state.wanted = wanted;
+    state.answered = false;
+    state.ask_again = clock_.Monotonic() + kEmptyGrantBackoff;
+    ++messages_sent_;
+    return transport_.Send(home.peer_address, request);
+  }
+
+  void RenewLoans(absl::Time now) {
+    std::map<std::string, bool> lenders;
+    for (auto& [name, upstream] : upstreams_) {
+      if (upstream.borrowed > 0 && upstream.renew_at <= now) {
+        lenders[upstream.lender] = true;
+        upstream.renew_at = now + kRenewAfter;
+      }
+    }
+    for (const auto& [vm, unused] : lenders) {
+      const auto home = membership_.Find(vm);
+      if (home.has_value() && membership_.IsReachable(vm)) {
+        Request(*home, 0);
+      }
+    }
+    PublishAllowances();
+  }
+
+  // Asks homes for slots while tasks are queued and no slot is free: first in
+  // the own failure domain, elsewhere when all homes there granted nothing.
+  void BorrowSlots(absl::Time now) {
+    int running = 0;
+    for (const auto& [name, upstream] : upstreams_) {
+      running += upstream.running;
+    }
+    const int free = TotalAllowance() - running;
+    const int wanted = queued_ - std::max(0, free);
+    if (wanted <= 0) {
+      return;
+    }
+    std::vector<MemberRecord> candidates = Askable(
+        membership_.ReachableIn(membership_.self().failure_domain), now);
+    if (candidates.empty()) {
+      candidates = Askable(membership_.Reachable(), now);
+    }
+    for (size_t i = 0; i < kHomesAskedPerTick && !candidates.empty(); ++i) {
+      const size_t n = random_.Below(candidates.size());
+      Request(candidates[n], wanted);
+      candidates.erase(candidates.begin() + static_cast<ptrdiff_t>(n));
+    }
+    PublishAllowances();
+  }
+
+  std::vector<MemberRecord> Askable(std::vector<MemberRecord> members,
+                                    absl::Time now) {
+    std::erase_if(members, [&](const MemberRecord& it) {
+      return it.vm == self() || it.state != MemberState::kReady ||
+             homes_[it.vm].ask_again > now;
+    });
+    return members;
+  }
+
+  const Clock& clock_;
+  Random& random_;
+  PeerTransport& transport_;
+  const Membership& membership_;
+  std::map<std::string, Upstream> upstreams_;
+  std::map<std::string, Home> homes_;
+  std::map<std::string, int> published_;
+  std::vector<SlotAllowance> changes_;
+  int queued_ = 0;
+  uint64_t members_hash_ = 0;
+  absl::Time last_refill_ = absl::InfinitePast();
+  double request_budget_ = kMaxSlotRequestsPerSecond / 4.0;
+  uint64_t messages_sent_ = 0;
+  uint64_t empty_grants_ = 0;
+};
+
+SlotBroker::SlotBroker(const Clock& clock,
+                       Random& random,
+                       PeerTransport& transport,
+                       const Membership& membership)
+    : impl_(std::make_unique<Impl>(clock, random, transport, membership)) {}
+
+SlotBroker::~SlotBroker() = default;
+
+void SlotBroker::SetUpstream(const std::string& upstream,
+                             const std::string& failure_domain,
+                             int slots) {
+  impl_->SetUpstream(upstream, failure_domain, slots);
+}
+
+void SlotBroker::RemoveUpstream(const std::string& upstream) {
+  impl_->RemoveUpstream(upstream);
+}
+
+void SlotBroker::SetDemand(int queued_tasks, const std::vector<SlotUse>& use) {
+  impl_->SetDemand(queued_tasks, use);
+}
+
+void SlotBroker::Tick() {
+  impl_->Tick();
+}
+
+void SlotBroker::OnPeerMessage(const MemberRecord& sender,
+                               const PeerMessage& message) {
+  if (const auto* request = std::get_if<SlotRequest>(&message)) {
+    impl_->OnRequest(sender, *request);
+  } else if (const auto* grant = std::get_if<SlotGrant>(&message)) {
+    impl_->OnGrant(sender, *grant);
+  }
+}
+
+std::vector<SlotAllowance> SlotBroker::TakeChanges() {
+  return impl_->TakeChanges();
+}
+
+uint64_t SlotBroker::messages_sent() const {
+  return impl_->messages_sent();
+}
+
+uint64_t SlotBroker::empty_grants() const {
+  return impl_->empty_grants();
+}
+
+}  // namespace radishrail
