--- /dev/null
+++ b/src/http_server.cc
@@ -0,0 +1,541 @@
+#include "radishrail/http_server.h"
+
+#include <microhttpd.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <condition_variable>
+#include <cstdarg>
+#include <cstdio>
+#include <cstring>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "radishrail/log.h"
+#include "socket_address.h"
+
+namespace radishrail {
+
+namespace {
+
+// A connection's memory holds its request header and the buffers of its body
+// and response header; the header limit is checked separately.
+constexpr size_t kConnectionMemoryBytes = 32 * 1024;
+// A chunked body that exceeds its limit is read on, up to this multiple of the
+// limit, so that the client reads status 413 rather than a reset connection.
+constexpr size_t kDiscardFactor = 2;
+// Time without any request in progress after which a stopping server closes its
+// idle connections: a request that a client has just sent is still served.
+constexpr auto kQuietPeriod = std::chrono::milliseconds(50);
+// Time for a stopping server to send the 503 responses that it still owes.
+constexpr auto kFinalSendTime = std::chrono::seconds(1);
+
+// Longest log line of libmicrohttpd that is kept.
+constexpr size_t kMaxLogLine = 256;
+
+void LogLibraryMessage(void* /*context*/, const char* format, va_list values) {
+  std::array<char, kMaxLogLine> line = {};
+  std::vsnprintf(line.data(), line.size(), format, values);
+  Log(LogLevel::kDebug, "http server library", {{"detail", line.data()}});
+}
+
+HttpResponse ErrorResponse(int status, ErrorCode code, const char* detail) {
+  HttpResponse response;
+  response.status = status;
+  response.body.append(R"({"error":{"code":")")
+      .append(ErrorCodeName(code))
+      .append(R"(","step":"receive","peer":"","detail":")")
+      .append(detail)
+      .append("\"}}");
+  return response;
+}
+
+void FreeBody(void* body) {
+  delete static_cast<std::string*>(body);
+}
+
+MHD_Result QueueResponse(MHD_Connection* connection,
+                         HttpResponse response,
+                         bool close) {
+  auto* body = new std::string(std::move(response.body));
+  MHD_Response* result = MHD_create_response_from_buffer_with_free_callback_cls(
+      body->size(), body->data(), &FreeBody, body);
+  if (result == nullptr) {
+    delete body;
+    return MHD_NO;
+  }
+  if (!response.content_type.empty()) {
+    MHD_add_response_header(result, MHD_HTTP_HEADER_CONTENT_TYPE,
+                            response.content_type.c_str());
+  }
+  for (const auto& [name, value] : response.headers) {
+    MHD_add_response_header(result, name.c_str(), value.c_str());
+  }
+  if (close) {
+    MHD_add_response_header(result, MHD_HTTP_HEADER_CONNECTION, "close");
+  }
+  const MHD_Result queued = MHD_queue_response(
+      connection, static_cast<unsigned>(response.status), result);
+  MHD_destroy_response(result);
+  return queued;
+}
+
+MHD_Result AddHeaderSize(void* total,
+                         MHD_ValueKind /*kind*/,
+                         const char* name,
+                         const char* value) {
+  constexpr size_t kSeparators = 4;  // ": " and the end of the line
+  *static_cast<size_t*>(total) += std::strlen(name) + kSeparators +
+                                  (value == nullptr ? 0 : std::strlen(value));
+  return MHD_YES;
+}
+
+MHD_Result AddQuery(void* query,
+                    MHD_ValueKind /*kind*/,
+                    const char* name,
+                    const char* value) {
+  (*static_cast<std::map<std::string, std::string>*>(query))[name] =
+      value == nullptr ? "" : value;
+  return MHD_YES;
+}
+
+}  // namespace
+
+std::string_view HttpRequest::Header(std::string_view name) const {
+  for (const auto& it : headers) {
+    if (it.first == name) {
+      return it.second;
+    }
+  }
+  return {};
+}
+
+std::string_view HttpRequest::Query(const std::string& name) const {
+  const auto it = query.find(name);
+  return it == query.end() ? std::string_view() : it->second;
+}
+
+namespace internal {
+
+// One request from its header to the end of its response. Threads of the server
+// and the thread that answers share it; the mutex guards all members but those
+// of the receiving phase.
+class HttpRequestState {
+ public:
+  explicit HttpRequestState(MHD_Connection* connection)
+      : connection_(connection) {}
+
+  // Used by the connection's thread only, before the request is dispatched.
+  HttpRequest request;
+  size_t received_bytes = 0;
+  bool too_large = false;
+  bool dispatched = false;
+
+  // Keeps the response and lets the connection's thread send it. Without a
+  // response, that thread closes the connection.
+  void Answer(std::optional<HttpResponse> response) {
+    const std::lock_guard lock(mutex_);
+    if (answered_ || connection_ == nullptr) {
+      return;
+    }
+    answered_ = true;
+    response_ = std::move(response);
+    if (std::exchange(suspended_, false)) {
+      MHD_resume_connection(connection_);
+    }
+  }
+
+  // Returns true with what was answered. Otherwise the connection is suspended
+  // until `Answer`.
+  bool TakeOrSuspend(std::optional<HttpResponse>& response) {
+    const std::lock_guard lock(mutex_);
+    if (answered_) {
+      response = std::move(response_);
+      return true;
+    }
+    suspended_ = true;
+    MHD_suspend_connection(connection_);
+    return false;
+  }
+
+  // The connection no longer waits for a response: it was sent, or the client
+  // disconnected.
+  void Complete() {
+    const std::lock_guard lock(mutex_);
+    connection_ = nullptr;
+    suspended_ = false;
+  }
+
+ private:
+  std::mutex mutex_;
+  MHD_Connection* connection_;
+  std::optional<HttpResponse> response_;
+  bool answered_ = false;
+  bool suspended_ = false;
+};
+
+}  // namespace internal
+
+using internal::HttpRequestState;
+
+// Shared by the copies of one responder; answers when the last one is gone.
+class HttpResponder::Exchange {
+ public:
+  explicit Exchange(std::shared_ptr<HttpRequestState> state)
+      : state_(std::move(state)) {}
+  ~Exchange() {
+    state_->Answer(ErrorResponse(MHD_HTTP_INTERNAL_SERVER_ERROR,
+                                 ErrorCode::kInternal,
+                                 "the request was dropped"));
+  }
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  void Answer(std::optional<HttpResponse> response) {
+    state_->Answer(std::move(response));
+  }
+
+ private:
+  const std::shared_ptr<HttpRequestState> state_;
+};
+
+HttpResponder::HttpResponder(std::shared_ptr<Exchange> exchange)
+    : exchange_(std::move(exchange)) {}
+
+void HttpResponder::operator()(HttpResponse response) const {
+  exchange_->Answer(std::move(response));
+}
+
+void HttpResponder::CloseConnection() const {
+  exchange_->Answer(std::nullopt);
+}
+
+class HttpServer::Impl {
+ public:
+  Impl(HttpServerSettings settings, HttpHandler handler)
+      : settings_(std::move(settings)), handler_(std::move(handler)) {}
+  ~Impl() { Stop(absl::ZeroDuration()); }
+
+  bool Start(Error* error);
+  bool Stop(absl::Duration timeout);
+  uint16_t port() const { return port_; }
+  std::string address() const {
+    return internal::WithPort(settings_.address, port_);
+  }
+  int requests_in_progress() const {
+    const std::lock_guard lock(mutex_);
+    return static_cast<int>(requests_.size());
+  }
+
+ private:
+  using StatePointer = std::shared_ptr<HttpRequestState>;
+
+  static MHD_Result OnAccess(void* self,
+                             MHD_Connection* connection,
+                             const char* url,
+                             const char* method,
+                             const char* version,
+                             const char* upload_data,
+                             size_t* upload_data_size,
+                             void** context);
+  static void OnCompleted(void* self,
+                          MHD_Connection* connection,
+                          void** context,
+                          MHD_RequestTerminationCode code);
+
+  MHD_Result OnHeader(MHD_Connection* connection,
+                      const char* url,
+                      const char* method,
+                      void** context);
+  MHD_Result OnBody(HttpRequestState& state,
+                    const char* data,
+                    size_t* size) const;
+  MHD_Result OnEnd(MHD_Connection* connection, const StatePointer& state);
+  MHD_Result Refuse(MHD_Connection* connection, int status, const char* detail);
+  void FillRequest(MHD_Connection* connection, HttpRequest& request) const;
+  bool DeclaresTooLargeBody(MHD_Connection* connection) const;
+  bool stopping() const {
+    const std::lock_guard lock(mutex_);
+    return stopping_;
+  }
+  bool WaitUntilQuiet(std::chrono::steady_clock::time_point deadline);
+
+  const HttpServerSettings settings_;
+  const HttpHandler handler_;
+  uint16_t port_ = 0;
+  MHD_Daemon* daemon_ = nullptr;
+
+  mutable std::mutex mutex_;
+  std::condition_variable changed_;
+  absl::flat_hash_set<StatePointer> requests_;
+  uint64_t requests_begun_ = 0;
+  bool stopping_ = false;  // responses close their connections
+  bool refusing_ = false;  // the time for requests in progress is over
+};
+
+bool HttpServer::Impl::Start(Error* error) {
+  auto listener = internal::ListenOn(settings_.address, &port_, error);
+  if (!listener) {
+    return false;
+  }
+  std::vector<MHD_OptionItem> options = {
+      {MHD_OPTION_CONNECTION_LIMIT, settings_.max_connections, nullptr},
+      {MHD_OPTION_CONNECTION_TIMEOUT,
+       std::max<intptr_t>(1, absl::ToInt64Seconds(settings_.idle_timeout)),
+       nullptr},
+      {MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+       static_cast<intptr_t>(
+           std::max(kConnectionMemoryBytes, 2 * settings_.max_header_bytes)),
+       nullptr},
+      {MHD_OPTION_LISTEN_SOCKET, listener->get(), nullptr}};
+  if (settings_.threads > 1) {
+    options.push_back(
+        {MHD_OPTION_THREAD_POOL_SIZE, settings_.threads, nullptr});
+  }
+  options.push_back({MHD_OPTION_END, 0, nullptr});
+  daemon_ =
+      MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD |
+                           MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG,
+                       0, nullptr, nullptr, &Impl::OnAccess, this,
+                       MHD_OPTION_EXTERNAL_LOGGER, &LogLibraryMessage, nullptr,
+                       MHD_OPTION_NOTIFY_COMPLETED, &Impl::OnCompleted, this,
+                       MHD_OPTION_ARRAY, options.data(), MHD_OPTION_END);
+  if (daemon_ == nullptr) {
+    Fail(error, ErrorCode::kInternal, Step::kSettings,
+         "the HTTP server could not be started", settings_.address);
+    return false;
+  }
+  listener->release();
+  return true;
+}
+
+bool HttpServer::Impl::WaitUntilQuiet(
+    std::chrono::steady_clock::time_point deadline) {
+  std::unique_lock lock(mutex_);
+  while (true) {
+    if (!changed_.wait_until(lock, deadline,
+                             [&] { return requests_.empty(); })) {
+      return false;
+    }
+    const uint64_t begun = requests_begun_;
+    changed_.wait_for(lock, kQuietPeriod,
+                      [&] { return requests_begun_ != begun; });
+    if (requests_begun_ == begun) {
+      return true;
+    }
+  }
+}
+
+bool HttpServer::Impl::Stop(absl::Duration timeout) {
+  if (daemon_ == nullptr) {
+    return true;
+  }
+  const internal::FileDescriptor listener(MHD_quiesce_daemon(daemon_));
+  {
+    const std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  constexpr absl::Duration kMaxWait = absl::Hours(24);
+  const auto wait = absl::ToChronoNanoseconds(
+      std::clamp(timeout, absl::ZeroDuration(), kMaxWait));
+  const bool finished = timeout > absl::ZeroDuration() &&
+                        WaitUntilQuiet(std::chrono::steady_clock::now() + wait);
+  std::vector<StatePointer> unanswered;
+  {
+    const std::lock_guard lock(mutex_);
+    refusing_ = true;
+    unanswered.assign(requests_.begin(), requests_.end());
+  }
+  for (const auto& it : unanswered) {
+    it->Answer(ErrorResponse(MHD_HTTP_SERVICE_UNAVAILABLE, ErrorCode::kDraining,
+                             "the server stops"));
+  }
+  if (!unanswered.empty()) {
+    WaitUntilQuiet(std::chrono::steady_clock::now() + kFinalSendTime);
+  }
+  MHD_stop_daemon(daemon_);
+  daemon_ = nullptr;
+  return finished || unanswered.empty();
+}
+
+void HttpServer::Impl::FillRequest(MHD_Connection* connection,
+                                   HttpRequest& request) const {
+  for (const auto& name : settings_.request_headers) {
+    const char* value =
+        MHD_lookup_connection_value(connection, MHD_HEADER_KIND, name.c_str());
+    if (value != nullptr) {
+      request.headers.emplace_back(name, value);
+    }
+  }
+  MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &AddQuery,
+                            &request.query);
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  if (info != nullptr) {
+    request.peer = internal::FormatSocketAddress(info->client_addr);
+  }
+}
+
+bool HttpServer::Impl::DeclaresTooLargeBody(MHD_Connection* connection) const {
+  const char* value = MHD_lookup_connection_value(
+      connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
+  uint64_t length = 0;
+  return value != nullptr && absl::SimpleAtoi(value, &length) &&
+         length > settings_.max_body_bytes;
+}
+
+// A response that is queued before the body is read closes the connection.
+MHD_Result HttpServer::Impl::Refuse(MHD_Connection* connection,
+                                    int status,
+                                    const char* detail) {
+  return QueueResponse(
+      connection, ErrorResponse(status, ErrorCode::kTooLarge, detail), true);
+}
+
+MHD_Result HttpServer::Impl::OnHeader(MHD_Connection* connection,
+                                      const char* url,
+                                      const char* method,
+                                      void** context) {
+  auto state = std::make_shared<HttpRequestState>(connection);
+  state->request.method = method;
+  state->request.path = url;
+  *context = new StatePointer(state);
+  {
+    const std::lock_guard lock(mutex_);
+    requests_.insert(state);
+    ++requests_begun_;
+  }
+  size_t header_bytes = state->request.path.size();
+  MHD_get_connection_values(connection, MHD_HEADER_KIND, &AddHeaderSize,
+                            &header_bytes);
+  MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &AddHeaderSize,
+                            &header_bytes);
+  if (header_bytes > settings_.max_header_bytes) {
+    return Refuse(connection, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
+                  "the request header exceeds the limit");
+  }
+  if (DeclaresTooLargeBody(connection)) {
+    return Refuse(connection, MHD_HTTP_CONTENT_TOO_LARGE,
+                  "the request body exceeds the limit");
+  }
+  FillRequest(connection, state->request);
+  return MHD_YES;
+}
+
+MHD_Result HttpServer::Impl::OnBody(HttpRequestState& state,
+                                    const char* data,
+                                    size_t* size) const {
+  state.received_bytes += *size;
+  if (state.received_bytes > settings_.max_body_bytes) {
+    state.too_large = true;
+    state.request.body = {};
+    if (state.received_bytes > kDiscardFactor * settings_.max_body_bytes) {
+      return MHD_NO;
+    }
+  } else {
+    state.request.body.append(data, *size);
+  }
+  *size = 0;
+  return MHD_YES;
+}
+
+// Runs once when the request is complete and again when its connection was
+// resumed for the response.
+MHD_Result HttpServer::Impl::OnEnd(MHD_Connection* connection,
+                                   const StatePointer& state) {
+  if (state->too_large) {
+    return Refuse(connection, MHD_HTTP_CONTENT_TOO_LARGE,
+                  "the request body exceeds the limit");
+  }
+  bool refusing = false;
+  {
+    const std::lock_guard lock(mutex_);
+    refusing = refusing_;
+  }
+  if (!state->dispatched) {
+    state->dispatched = true;
+    if (refusing) {
+      state->Answer(ErrorResponse(MHD_HTTP_SERVICE_UNAVAILABLE,
+                                  ErrorCode::kDraining, "the server stops"));
+    } else {
+      handler_(std::move(state->request),
+               HttpResponder(std::make_shared<HttpResponder::Exchange>(state)));
+    }
+  }
+  std::optional<HttpResponse> response;
+  if (!state->TakeOrSuspend(response)) {
+    return MHD_YES;
+  }
+  return response ? QueueResponse(connection, *std::move(response), stopping())
+                  : MHD_NO;
+}
+
+MHD_Result HttpServer::Impl::OnAccess(void* self,
+                                      MHD_Connection* connection,
+                                      const char* url,
+                                      const char* method,
+                                      const char* /*version*/,
+                                      const char* upload_data,
+                                      size_t* upload_data_size,
+                                      void** context) {
+  auto* impl = static_cast<Impl*>(self);
+  if (*context == nullptr) {
+    return impl->OnHeader(connection, url, method, context);
+  }
+  const StatePointer state = *static_cast<StatePointer*>(*context);
+  if (*upload_data_size > 0) {
+    return impl->OnBody(*state, upload_data, upload_data_size);
+  }
+  return impl->OnEnd(connection, state);
+}
+
+void HttpServer::Impl::OnCompleted(void* self,
+                                   MHD_Connection* /*connection*/,
+                                   void** context,
+                                   MHD_RequestTerminationCode /*code*/) {
+  if (*context == nullptr) {
+    return;
+  }
+  auto* impl = static_cast<Impl*>(self);
+  const std::unique_ptr<StatePointer> state(
+      static_cast<StatePointer*>(*context));
+  *context = nullptr;
+  (*state)->Complete();
+  const std::lock_guard lock(impl->mutex_);
+  impl->requests_.erase(*state);
+  if (impl->stopping_) {
+    impl->changed_.notify_all();
+  }
+}
+
+HttpServer::HttpServer(HttpServerSettings settings, HttpHandler handler)
+    : impl_(std::make_unique<Impl>(std::move(settings), std::move(handler))) {}
+
+HttpServer::~HttpServer() = default;
+
+bool HttpServer::Start(Error* error) {
+  return impl_->Start(error);
+}
+
+uint16_t HttpServer::port() const {
+  return impl_->port();
+}
+
+std::string HttpServer::address() const {
+  return impl_->address();
+}
+
+int HttpServer::requests_in_progress() const {
+  return impl_->requests_in_progress();
+}
+
+bool HttpServer::Stop(absl::Duration timeout) {
+  return impl_->Stop(timeout);
+}
+
+}  // namespace radishrail
