--- a/include/radishrail/job_key.h
+++ b/include/radishrail/job_key.h
@@ -28,8 +28,10 @@
   std::string failure_domain;  // resolved, never empty
   std::string vm;              // kMinted only
   uint64_t incarnation = 0;    // kMinted only
-  absl::Time stamp;            // kStamped only
-  uint32_t range = 0;          // kStamped and kPlain only
+  // kStamped: the caller's time of day. kMinted: time of minting on the
+  // monotonic clock of the minting incarnation.
+  absl::Time stamp;
+  uint32_t range = 0;  // kStamped and kPlain only
 };
 
 // Parses a key. A key that names no failure domain is hashed over
@@ -39,10 +41,16 @@
     const std::vector<std::string>& failure_domains,
     Error* error);
 
-// Builds "k1.<failure_domain>.<vm>.<incarnation>.<random>".
+// Key range of a range-bound key; depends on the text only.
+uint32_t KeyRange(std::string_view text);
+
+// Builds "k1.<failure_domain>.<vm>.<incarnation>.<minted ms>-<random>".
+// `minted` is an instant of the monotonic clock. Without it, a key that is
+// submitted again after the job table forgot it would be accepted twice.
 std::string MintJobKey(std::string_view failure_domain,
                        std::string_view vm,
                        uint64_t incarnation,
+                       absl::Time minted,
                        std::string_view random);
 
 }  // namespace radishrail
