Pass the time of minting to MintJobKey

Cause: a minted key that is submitted again after the job table forgot it would be accepted a second time. Ruled out: remembering minted keys for ever, which grows without bound.

--- a/src/node.cc
+++ b/src/node.cc
@@ -133,7 +133,8 @@
       return {};
     }
     return MintJobKey(settings_.failure_domain, settings_.vm,
-                      membership_.self().incarnation, env_.random.HexToken());
+                      membership_.self().incarnation, env_.clock.Monotonic(),
+                      env_.random.HexToken());
   }
 
   void OnPeerMessage(const MemberRecord& sender, const PeerMessage& message) {
