Add membership with bounded heartbeats

Cause: ownership and forwarding need to know which daemons are alive, at a cost that does not grow with the fleet. Counting any passed-on record as contact kept a dead member reachable for more than 8 s, since news is relayed with delay. Change: each member of the failure domain is contacted directly within 4 rounds, at most 8 messages a second in total; the rest goes to other failure domains and to silent members and seeds. Passed-on sequences are dated by their number. Members of other failure domains are suspected after a time that grows with the fleet (150 s with 300 daemons). A VM counts as removed when the list lacked it for 30 s and nothing was heard from it; a list without the reader itself is ignored as stale. Time to discover all members of other failure domains at the target size is up to 90 s and is not improved here.

--- /dev/null
+++ b/src/membership.cc
@@ -0,0 +1,514 @@
+#include "radishrail/membership.h"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+namespace radishrail {
+
+namespace {
+
+// With 300 daemons a daemon receives about 10 records a second that are news
+// about other failure domains. A member there is suspected after it was missed
+// in about five rounds of news.
+constexpr size_t kMembersPerSuspectTime = 10;
+// Each member of the own failure domain is contacted directly every 4 s, which
+// leaves one second of the time to suspicion for delays.
+constexpr size_t kRingRounds = 4;
+// Recent members remembered to be passed on: about the news of a second.
+constexpr size_t kRecentMembers = 12;
+// Members not heard of for this long are forgotten, so that replaced VMs do not
+// fill the memory. Their evidence is used within minutes.
+constexpr absl::Duration kForgetAfter = absl::Hours(24);
+constexpr absl::Duration kCleanupInterval = absl::Minutes(1);
+// Members looked at for one silent target in a tick.
+constexpr size_t kSilentScan = 16;
+
+// Array headers, message type and document revision.
+constexpr size_t kHeartbeatHeaderBytes = 13;
+
+// Upper bounds of encoded sizes; encoding each heartbeat several times to find
+// its size would double the cost of a tick.
+size_t EncodedBytes(uint64_t n) {
+  return n < 128           ? 1
+         : n <= UINT8_MAX  ? 2
+         : n <= UINT16_MAX ? 3
+         : n <= UINT32_MAX ? 5
+                           : 9;
+}
+
+size_t EncodedBytes(const std::string& text) {
+  return text.size() + (text.size() < 32 ? 1 : text.size() <= 255 ? 2 : 5);
+}
+
+size_t EncodedBytes(const MemberRecord& record) {
+  return 2 + EncodedBytes(record.vm) + EncodedBytes(record.incarnation) +
+         EncodedBytes(record.sequence) + EncodedBytes(record.failure_domain) +
+         EncodedBytes(record.peer_address) +
+         EncodedBytes(uint64_t{record.weight});
+}
+
+void AddTarget(const MemberRecord& self,
+               const std::string& address,
+               std::vector<std::string>* targets) {
+  if (!address.empty() && address != self.peer_address &&
+      std::find(targets->begin(), targets->end(), address) == targets->end()) {
+    targets->push_back(address);
+  }
+}
+
+}  // namespace
+
+Membership::Membership(const Clock& clock,
+                       Random& random,
+                       PeerTransport& transport,
+                       MemberRecord self,
+                       std::vector<std::string> seeds)
+    : clock_(clock),
+      random_(random),
+      transport_(transport),
+      self_(std::move(self)),
+      seeds_(std::move(seeds)),
+      newest_own_incarnation_(self_.incarnation) {
+  // Daemons that start together must not all write to the same seed first.
+  if (!seeds_.empty()) {
+    seed_cursor_ = random_.Below(seeds_.size());
+  }
+}
+
+void Membership::Tick(int64_t document_revision) {
+  const absl::Time now = clock_.Monotonic();
+  if (now < next_heartbeat_ || self_.state == MemberState::kGone) {
+    return;
+  }
+  // Jitter of a tenth keeps daemons from sending in step.
+  next_heartbeat_ = now + kHeartbeatInterval * (0.95 + 0.1 * random_.Unit());
+  ++self_.sequence;
+  size_t remote = 0;
+  const std::vector<std::string> targets = HeartbeatTargets(&remote);
+  for (size_t i = 0; i < targets.size(); ++i) {
+    const std::string& it = targets[i];
+    Heartbeat heartbeat{self_, document_revision,
+                        RecordsToPassOn(it, i < remote)};
+    size_t bytes = kHeartbeatHeaderBytes + EncodedBytes(self_);
+    for (const auto& record : heartbeat.others) {
+      bytes += EncodedBytes(record);
+    }
+    while (!heartbeat.others.empty() && bytes > kMaxHeartbeatBytes) {
+      bytes -= EncodedBytes(heartbeat.others.back());
+      heartbeat.others.pop_back();
+    }
+    transport_.Send(it, heartbeat);
+  }
+  if (now >= next_cleanup_) {
+    next_cleanup_ = now + kCleanupInterval;
+    ForgetOldMembers();
+  }
+}
+
+std::vector<std::string> Membership::HeartbeatTargets(size_t* remote) {
+  std::vector<std::string> targets;
+  // The failure domain comes first, since ownership needs timely news there;
+  // one message looks for members that are not heard.
+  const size_t domains = index_.size() - index_.count(self_.failure_domain);
+  const size_t limit = kHeartbeatFanOut - 1 - RingTargets();
+  AddRemoteTargets(std::clamp<size_t>((domains + 1) / 2, 0, limit), &targets);
+  *remote = targets.size();
+  AddRingTargets(targets.size() + RingTargets(), &targets);
+  AddSilentTargets(targets.empty() ? kHeartbeatFanOut : targets.size() + 1,
+                   &targets);
+  return targets;
+}
+
+size_t Membership::RingTargets() const {
+  const auto domain = index_.find(self_.failure_domain);
+  const size_t n = domain == index_.end() ? 0 : domain->second.size();
+  return std::min((n + kRingRounds - 1) / kRingRounds, kHeartbeatFanOut - 2);
+}
+
+// Walks around the ring of the failure domain, so that each member is contacted
+// directly within `kRingRounds`.
+void Membership::AddRingTargets(size_t limit,
+                                std::vector<std::string>* targets) {
+  const auto domain = index_.find(self_.failure_domain);
+  if (domain == index_.end()) {
+    return;
+  }
+  const auto& names = domain->second;
+  for (size_t i = 0; i < names.size() && targets->size() < limit; ++i) {
+    const Member& member =
+        members_.find(names[ring_cursor_++ % names.size()])->second;
+    if (IsReachable(member)) {
+      AddTarget(self_, member.record.peer_address, targets);
+    }
+  }
+}
+
+void Membership::AddRemoteTargets(size_t limit,
+                                  std::vector<std::string>* targets) {
+  for (size_t i = 0; i < index_.size() && targets->size() < limit; ++i) {
+    const auto domain =
+        std::next(index_.begin(),
+                  static_cast<ptrdiff_t>(remote_cursor_++ % index_.size()));
+    if (domain->first == self_.failure_domain) {
+      continue;
+    }
+    const auto& names = domain->second;
+    const Member& member =
+        members_.find(names[random_.Below(names.size())])->second;
+    if (member.record.state != MemberState::kGone) {
+      AddTarget(self_, member.record.peer_address, targets);
+    }
+  }
+}
+
+// Suspected members, members that only the VM list knows, and seeds: without
+// them, a healed partition would not be noticed.
+void Membership::AddSilentTargets(size_t limit,
+                                  std::vector<std::string>* targets) {
+  if (!seeds_.empty() &&
+      (targets->size() + 1 < limit || random_.Below(2) == 0)) {
+    for (size_t i = 0; i < seeds_.size() && targets->size() < limit; ++i) {
+      AddTarget(self_, seeds_[seed_cursor_++ % seeds_.size()], targets);
+    }
+  }
+  auto it = members_.begin();
+  if (!members_.empty()) {
+    std::advance(it, static_cast<ptrdiff_t>(silent_cursor_ % members_.size()));
+  }
+  const size_t scan = std::min(members_.size(), kSilentScan);
+  for (size_t i = 0; i < scan && targets->size() < limit; ++i) {
+    ++silent_cursor_;
+    if (it->second.record.state != MemberState::kGone &&
+        !IsReachable(it->second)) {
+      AddTarget(self_, it->second.record.peer_address, targets);
+    }
+    if (++it == members_.end()) {
+      it = members_.begin();
+    }
+  }
+}
+
+std::vector<MemberRecord> Membership::RecordsToPassOn(std::string_view target,
+                                                      bool target_is_remote) {
+  std::vector<MemberRecord> records;
+  const auto add = [&](const Member& member) {
+    if (member.record.incarnation != 0 &&
+        member.record.peer_address != target &&
+        std::none_of(records.begin(), records.end(),
+                     [&](const auto& r) { return r.vm == member.record.vm; })) {
+      records.push_back(member.record);
+    }
+  };
+  for (size_t i = std::min(urgent_.size(), kSilentScan);
+       i > 0 && records.size() < kHeartbeatRecords / 2; --i) {
+    const auto member = members_.find(urgent_.front());
+    if (member != members_.end() && --member->second.urgent_sends >= 0) {
+      add(member->second);
+      urgent_.push_back(urgent_.front());
+    }
+    urgent_.pop_front();
+  }
+  const auto add_recent = [&](const std::deque<std::string>& recent,
+                              size_t limit) {
+    // A random start spreads different records to the targets of one tick.
+    const size_t start = recent.empty() ? 0 : random_.Below(recent.size());
+    for (size_t i = 0; i < recent.size() && records.size() < limit; ++i) {
+      const auto member = members_.find(recent[(start + i) % recent.size()]);
+      if (member != members_.end() && IsReachable(member->second)) {
+        add(member->second);
+      }
+    }
+  };
+  // Members of the target's failure domain reach it directly, so it gets mostly
+  // news about others.
+  add_recent(target_is_remote ? recent_own_ : recent_remote_,
+             kHeartbeatRecords - 1);
+  add_recent(target_is_remote ? recent_remote_ : recent_own_,
+             kHeartbeatRecords);
+  return records;
+}
+
+void Membership::OnHeartbeat(const Heartbeat& heartbeat) {
+  Learn(heartbeat.sender, true);
+  for (const auto& it : heartbeat.others) {
+    Learn(it, false);
+  }
+}
+
+void Membership::OnContact(const MemberRecord& sender) {
+  Learn(sender, true);
+}
+
+void Membership::OnLeave(std::string_view vm, uint64_t incarnation) {
+  const auto it = members_.find(vm);
+  if (it == members_.end() || it->second.record.incarnation > incarnation) {
+    return;
+  }
+  MemberRecord record = it->second.record;
+  record.incarnation = incarnation;
+  record.state = MemberState::kGone;
+  ++record.sequence;
+  Replace(record, &it->second);
+}
+
+void Membership::Learn(const MemberRecord& record, bool direct) {
+  if (record.vm.empty() || record.incarnation == 0) {
+    return;
+  }
+  if (record.vm == self_.vm) {
+    newest_own_incarnation_ =
+        std::max(newest_own_incarnation_, record.incarnation);
+    return;
+  }
+  const auto [it, is_new] = members_.try_emplace(record.vm);
+  Member& member = it->second;
+  MemberRecord& known = member.record;
+  if (record.incarnation > known.incarnation) {
+    const bool moved = record.failure_domain != known.failure_domain;
+    Replace(record, &member);
+    member.base_sequence = UINT64_MAX;
+    if (moved || is_new) {
+      RebuildIndex();
+    }
+  } else if (record.incarnation == known.incarnation &&
+             record.sequence > known.sequence &&
+             known.state != MemberState::kGone) {
+    Replace(record, &member);
+  } else if (record.incarnation < known.incarnation || !direct) {
+    // Old news shows nothing about the present.
+    return;
+  }
+  const absl::Time now = clock_.Monotonic();
+  if (direct) {
+    member.last_heard = member.last_contact = member.base_time = now;
+    member.base_sequence = known.sequence;
+    return;
+  }
+  if (known.sequence < member.base_sequence) {
+    member.base_time = now;
+    member.base_sequence = known.sequence;
+  }
+  // News that was passed on for a while is as old as its sequence says, which
+  // grows once a second; otherwise a dead member would be kept alive by it.
+  constexpr absl::Duration kSequenceInterval = absl::Milliseconds(1100);
+  const uint64_t rounds = known.sequence - member.base_sequence;
+  member.last_heard = std::max(
+      member.last_heard,
+      std::min(now, member.base_time +
+                        kSequenceInterval * static_cast<double>(rounds)));
+}
+
+void Membership::Replace(const MemberRecord& record, Member* member) {
+  MemberRecord& known = member->record;
+  const bool changed =
+      record.incarnation != known.incarnation || record.state != known.state;
+  MarkRecent(record);
+  known = record;
+  if (changed) {
+    MarkUrgent(member);
+  }
+  known.weight = std::max<uint32_t>(known.weight, 1);
+}
+
+// Changes are passed on often enough to reach a fleet in a number of rounds
+// that grows with its logarithm.
+void Membership::MarkUrgent(Member* member) {
+  if (member->urgent_sends <= 0) {
+    urgent_.push_front(member->record.vm);
+  }
+  member->urgent_sends =
+      2 * static_cast<int>(std::bit_width(members_.size())) + 8;
+}
+
+void Membership::MarkRecent(const MemberRecord& record) {
+  auto& recent = record.failure_domain == self_.failure_domain ? recent_own_
+                                                               : recent_remote_;
+  const auto it = std::find(recent.begin(), recent.end(), record.vm);
+  if (it != recent.end()) {
+    recent.erase(it);
+  }
+  recent.push_front(record.vm);
+  if (recent.size() > kRecentMembers) {
+    recent.pop_back();
+  }
+}
+
+void Membership::OnVmList(const std::vector<VmInfo>& vms) {
+  const bool has_self =
+      std::any_of(vms.begin(), vms.end(), [&](const auto& it) {
+        return it.role == VmRole::kEntry && it.vm == self_.vm;
+      });
+  // A list without this daemon is older than it and proves nothing about the
+  // removal of others; it may still name peers.
+  if (has_self) {
+    for (auto& it : members_) {
+      it.second.listed = false;
+    }
+  }
+  bool added = false;
+  for (const auto& it : vms) {
+    if (it.role != VmRole::kEntry || it.vm == self_.vm || it.vm.empty()) {
+      continue;
+    }
+    const auto [position, is_new] = members_.try_emplace(it.vm);
+    Member& member = position->second;
+    if (is_new) {
+      member.record.vm = it.vm;
+      member.record.failure_domain = it.failure_domain;
+      member.last_heard = absl::InfinitePast();
+      added = true;
+    }
+    if (member.record.incarnation == 0) {
+      member.record.peer_address = it.address;
+    }
+    member.listed = true;
+    member.was_listed = true;
+    member.removal_confirmed = false;
+    member.unlisted_since = absl::InfiniteFuture();
+  }
+  if (added) {
+    RebuildIndex();
+  }
+  const absl::Time now = clock_.Monotonic();
+  for (auto& [vm, member] : members_) {
+    if (has_self && member.was_listed && !member.listed) {
+      member.unlisted_since = std::min(member.unlisted_since, now);
+      member.removal_confirmed =
+          now - member.unlisted_since >= kVmListConfirmation;
+    }
+  }
+}
+
+void Membership::SetState(MemberState state) {
+  if (self_.state == MemberState::kGone) {
+    return;
+  }
+  self_.state = state;
+  ++self_.sequence;
+  next_heartbeat_ = absl::InfinitePast();
+  if (state == MemberState::kGone) {
+    for (const auto& it : Reachable()) {
+      transport_.Send(it.peer_address, Leave{self_.incarnation});
+    }
+  }
+}
+
+absl::Duration Membership::SuspectAfter(const Member& member) const {
+  if (member.record.failure_domain == self_.failure_domain) {
+    return kSuspectAfter;
+  }
+  const double scale = static_cast<double>(members_.size()) /
+                       static_cast<double>(kMembersPerSuspectTime);
+  return kSuspectAfter * std::max(1.0, scale);
+}
+
+bool Membership::IsReachable(const Member& member) const {
+  return member.record.incarnation != 0 &&
+         member.record.state != MemberState::kGone &&
+         clock_.Monotonic() - member.last_heard <= SuspectAfter(member);
+}
+
+bool Membership::IsReachable(std::string_view vm) const {
+  const auto it = members_.find(vm);
+  return it != members_.end() && IsReachable(it->second);
+}
+
+bool Membership::IsProvenGone(std::string_view vm, uint64_t incarnation) const {
+  if (vm == self_.vm) {
+    return incarnation < newest_own_incarnation_;
+  }
+  const auto it = members_.find(vm);
+  if (it == members_.end()) {
+    return false;
+  }
+  const MemberRecord& record = it->second.record;
+  return record.incarnation > incarnation ||
+         (record.incarnation == incarnation &&
+          record.state == MemberState::kGone);
+}
+
+bool Membership::IsRemovedFromVmList(std::string_view vm) const {
+  const auto it = members_.find(vm);
+  return it != members_.end() && it->second.removal_confirmed &&
+         it->second.last_contact < it->second.unlisted_since;
+}
+
+std::optional<MemberRecord> Membership::Find(std::string_view vm) const {
+  const auto it = members_.find(vm);
+  if (it == members_.end() || it->second.record.incarnation == 0) {
+    return std::nullopt;
+  }
+  return it->second.record;
+}
+
+std::vector<MemberRecord> Membership::Reachable() const {
+  std::vector<MemberRecord> records;
+  for (const auto& [vm, member] : members_) {
+    if (IsReachable(member)) {
+      records.push_back(member.record);
+    }
+  }
+  return records;
+}
+
+std::vector<MemberRecord> Membership::ReachableIn(
+    std::string_view failure_domain) const {
+  std::vector<MemberRecord> records;
+  const auto domain = index_.find(failure_domain);
+  if (domain == index_.end()) {
+    return records;
+  }
+  for (const auto& it : domain->second) {
+    const Member& member = members_.find(it)->second;
+    if (IsReachable(member)) {
+      records.push_back(member.record);
+    }
+  }
+  return records;
+}
+
+std::optional<MemberRecord> Membership::FreshestIn(
+    std::string_view failure_domain) const {
+  const auto domain = index_.find(failure_domain);
+  const Member* best = nullptr;
+  if (domain != index_.end()) {
+    for (const auto& it : domain->second) {
+      const Member& member = members_.find(it)->second;
+      if (IsReachable(member) &&
+          (best == nullptr || member.last_heard > best->last_heard)) {
+        best = &member;
+      }
+    }
+  }
+  return best == nullptr ? std::nullopt : std::make_optional(best->record);
+}
+
+std::vector<MemberRecord> Membership::Known() const {
+  std::vector<MemberRecord> records;
+  for (const auto& [vm, member] : members_) {
+    records.push_back(member.record);
+  }
+  return records;
+}
+
+void Membership::RebuildIndex() {
+  index_.clear();
+  for (const auto& [vm, member] : members_) {
+    index_[member.record.failure_domain].push_back(vm);
+  }
+}
+
+void Membership::ForgetOldMembers() {
+  const absl::Time oldest = clock_.Monotonic() - kForgetAfter;
+  const size_t erased = std::erase_if(members_, [&](const auto& it) {
+    const Member& member = it.second;
+    return !member.listed && member.last_heard < oldest &&
+           (!member.was_listed || member.unlisted_since < oldest);
+  });
+  if (erased > 0) {
+    RebuildIndex();
+  }
+}
+
+}  // namespace radishrail
