--- a/include/radishrail/upstream_registry.h
+++ b/include/radishrail/upstream_registry.h
@@ -42,6 +42,16 @@
   VmInfo info;
   UpstreamState state = UpstreamState::kHealthy;
   double speed = 1.0;
+  bool listed = true;      // in the latest VM list
+  bool accepting = false;  // may receive new work
+};
+
+// A change of state, for the timeline.
+struct UpstreamTransition {
+  std::string vm;
+  UpstreamState from = UpstreamState::kHealthy;
+  UpstreamState to = UpstreamState::kHealthy;
+  std::string cause;
 };
 
 // Knows the upstreams from the platform's list and from what they answer:
@@ -70,6 +80,8 @@
   // Upstreams that changed since the last call, as capacities with all their
   // slots (one in probation).
   std::vector<UpstreamCapacity> TakeChanges();
+  // Changes of state since the last call, in order.
+  std::vector<UpstreamTransition> TakeTransitions();
 
  private:
   class Impl;
--- /dev/null
+++ b/src/job_controller.cc
@@ -0,0 +1,1119 @@
+#include "radishrail/job_controller.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <utility>
+
+#include "absl/container/btree_set.h"
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/string_view.h"
+#include "radishrail/job_json.h"
+
+namespace radishrail {
+
+namespace {
+
+// No task is handed over later than this before its start-by time.
+constexpr absl::Duration kTransmissionMargin = absl::Milliseconds(50);
+// Covers keys with a time stamp up to 1 s in the future, which their owner
+// accepts until the resubmission window after that stamp has passed.
+constexpr absl::Duration kRetentionMargin = absl::Seconds(5);
+// Delay of a task whose upstream stopped accepting between the decision of the
+// scheduler and the hand-over.
+constexpr absl::Duration kPlacementRetryDelay = absl::Milliseconds(10);
+constexpr absl::Duration kMaxBackoff = absl::Seconds(2);
+
+// Bounds of the work of one Tick. At one Tick in 10 ms, keys are forgotten 12
+// times as fast as 4,000 jobs/s add them.
+constexpr size_t kForgottenKeysPerTick = 512;
+constexpr size_t kExpiredJobsPerTick = 4096;
+constexpr size_t kPlacementsPerTick = 10000;
+
+// Retries that a budget allows at once and, without traffic, per second.
+constexpr double kRetryBurst = 100;
+constexpr double kRetriesPerSecond = 1;
+// Retries that one upstream may cause, as a share of the first attempts there.
+constexpr double kUpstreamRetryShare = 0.2;
+constexpr double kUpstreamRetryBurst = 20;
+constexpr size_t kMaxUpstreamBudgets = 50000;
+
+// Callers choose the names of kinds, so their number is bounded.
+constexpr size_t kMaxKinds = 10000;
+constexpr int kMinKindSamples = 5;
+constexpr double kMinKindWeight = 0.02;
+constexpr double kMaxKindLogStep = 2.0;
+
+constexpr std::string_view kMintedPrefix = "k1.";
+
+absl::string_view Absl(std::string_view text) {
+  return {text.data(), text.size()};
+}
+
+// Token bucket that first attempts and time fill and retries drain.
+class RetryBudget {
+ public:
+  RetryBudget(double burst, absl::Time now)
+      : burst_(burst), tokens_(burst), filled_(now) {}
+
+  void OnFirstAttempt(double share) { Add(share); }
+
+  bool HasToken(absl::Time now) {
+    Add(absl::ToDoubleSeconds(now - filled_) * kRetriesPerSecond);
+    filled_ = now;
+    return tokens_ >= 1;
+  }
+  void Take() { tokens_ -= 1; }
+
+ private:
+  void Add(double n) { tokens_ = std::min(burst_, tokens_ + n); }
+
+  double burst_;
+  double tokens_;
+  absl::Time filled_;
+};
+
+// Learned run time of a kind at mean speed: a mean of logarithms, in which a
+// run that is many times longer than the others counts little.
+struct KindModel {
+  double log_seconds = 0;
+  int samples = 0;
+
+  absl::Duration expected() const {
+    return samples < kMinKindSamples ? absl::ZeroDuration()
+                                     : absl::Seconds(std::exp(log_seconds));
+  }
+
+  void Learn(absl::Duration run, double speed) {
+    if (run <= absl::ZeroDuration() || speed <= 0) {
+      return;
+    }
+    const double sample = std::log(absl::ToDoubleSeconds(run) * speed);
+    ++samples;
+    const double weight = std::max(kMinKindWeight, 1.0 / samples);
+    const double step = samples == 1
+                            ? sample - log_seconds
+                            : std::clamp(sample - log_seconds, -kMaxKindLogStep,
+                                         kMaxKindLogStep);
+    log_seconds += weight * step;
+  }
+};
+
+struct Environment {
+  std::string name;
+  RetryBudget budget;
+};
+
+struct Task {
+  TaskStatus status = TaskStatus::kQueued;
+  int attempts = 0;  // hand-overs so far
+  UpstreamId upstream = 0;
+  uint32_t kind = 0;
+  double speed = 1;  // of the upstream at the hand-over
+  absl::Time started;
+  std::string output;
+  Error error;
+};
+
+// A key that is remembered. Small, since a daemon keeps millions.
+struct KeyRecord {
+  std::string key;
+  std::string answer_json;  // empty: in progress, or unknown after an import
+  uint64_t body_hash = 0;
+  uint64_t job = 0;  // 0: not in progress here
+  int64_t accepted_unix_ms = 0;
+  uint32_t environment = 0;
+};
+
+// A job in progress.
+struct Job {
+  uint64_t number = 0;
+  KeyRecord* record = nullptr;
+  JobSpec spec;
+  std::shared_ptr<const VersionedDocument> document;
+  std::vector<Task> tasks;
+  std::vector<JobController::AnswerCallback> callbacks;
+  absl::Time accepted;
+  absl::Time start_by;
+  size_t queued = 0;
+  size_t running = 0;
+  size_t done = 0;
+  bool dispatched = false;  // a task was handed to the client
+  bool cancelled = false;
+  Error error;  // first reason for which the job cannot complete
+};
+
+struct Delivery {
+  JobController::AnswerCallback callback;
+  std::shared_ptr<const JobAnswer> answer;
+};
+
+Error ConflictError() {
+  // The same text whether the body or the environment differs, so that a key
+  // of another environment reveals nothing about its job.
+  return {ErrorCode::kConflict, Step::kDeduplication, "",
+          "the key was used for another request"};
+}
+
+JobAnswer NotRunAnswer(const JobSpec& job, Error error, absl::Duration retry) {
+  JobAnswer answer;
+  answer.key = job.key;
+  answer.environment = job.environment;
+  answer.status = JobStatus::kNotRun;
+  answer.error = std::move(error);
+  answer.retry_after = retry;
+  answer.tasks.reserve(job.tasks.size());
+  for (const auto& it : job.tasks) {
+    answer.tasks.push_back({it.id, TaskStatus::kNotRun, "", {}});
+  }
+  return answer;
+}
+
+bool IsFinal(JobStatus status) {
+  return status != JobStatus::kRunning;
+}
+
+}  // namespace
+
+class JobController::Impl {
+ public:
+  Impl(const Clock& clock,
+       Random& random,
+       Scheduler& scheduler,
+       UpstreamRegistry& upstreams,
+       UpstreamClient& client,
+       Metrics& metrics,
+       Timeline& timeline)
+      : clock_(clock),
+        random_(random),
+        scheduler_(scheduler),
+        upstreams_(upstreams),
+        client_(client),
+        timeline_(timeline),
+        counters_(metrics) {}
+
+  bool Knows(std::string_view key) const { return FindRecord(key) != nullptr; }
+
+  bool Join(const JobSpec& job, AnswerCallback callback) {
+    const Turn turn(*this);
+    KeyRecord* record = FindRecord(job.key);
+    if (record == nullptr) {
+      return false;
+    }
+    if (environments_[record->environment].name != job.environment ||
+        record->body_hash != job.body_hash) {
+      counters_.conflicts.Add();
+      RecordEvent(EventType::kJobRefused, job.key, "", "", "conflict");
+      Deliver(std::move(callback),
+              NotRunAnswer(job, ConflictError(), absl::ZeroDuration()));
+      return true;
+    }
+    counters_.joined.Add();
+    RecordEvent(EventType::kJobJoined, job.key);
+    if (Job* running = FindJob(record->job)) {
+      running->callbacks.push_back(std::move(callback));
+    } else {
+      Deliver(std::move(callback), Restore(*record, &job));
+    }
+    return true;
+  }
+
+  void Accept(JobSpec spec,
+              std::shared_ptr<const VersionedDocument> document,
+              AnswerCallback callback) {
+    const Turn turn(*this);
+    if (Knows(spec.key)) {
+      Join(spec, std::move(callback));
+      return;
+    }
+    const absl::Time now = clock_.Monotonic();
+    std::optional<Refusal> refusal = CheckAcceptable(spec, document.get());
+    const uint64_t number = next_job_++;
+    if (!refusal.has_value()) {
+      refusal = scheduler_.Admit(MakeDemand(number, spec, *document, now));
+    }
+    if (refusal.has_value()) {
+      Refuse(spec, std::move(*refusal), std::move(callback));
+      return;
+    }
+    Add(number, std::move(spec), std::move(document), std::move(callback), now);
+  }
+
+  std::optional<JobAnswer> Find(std::string_view key) const {
+    const KeyRecord* record = FindRecord(key);
+    if (record == nullptr) {
+      return std::nullopt;
+    }
+    const auto it = jobs_.find(record->job);
+    return it != jobs_.end() ? Progress(*it->second)
+                             : Restore(*record, nullptr);
+  }
+
+  bool Cancel(std::string_view key) {
+    const Turn turn(*this);
+    const KeyRecord* record = FindRecord(key);
+    if (record == nullptr) {
+      return false;
+    }
+    Job* job = FindJob(record->job);
+    if (job != nullptr && job->error.ok()) {
+      counters_.cancelled.Add();
+      RecordEvent(EventType::kJobCancelled, job->spec.key);
+      job->cancelled = true;
+      job->error = {ErrorCode::kCancelled, Step::kQueue, "",
+                    "the caller cancelled the job"};
+      DropQueued(*job);
+      EndIfWhole(*job);
+    }
+    return true;
+  }
+
+  void Tick() {
+    const Turn turn(*this);
+    ExpireJobs();
+    RefuseHopeless();
+    PlaceTasks();
+    ForgetKeys();
+    RecordTransitions();
+    counters_.in_progress.Set(static_cast<int64_t>(jobs_.size()));
+    counters_.remembered.Set(static_cast<int64_t>(records_.size()));
+  }
+
+  std::vector<RememberedKey> Remembered() const {
+    std::vector<RememberedKey> out;
+    for (const auto& [key, record] : records_) {
+      if (!record->key.starts_with(kMintedPrefix)) {
+        out.push_back({record->key, environments_[record->environment].name,
+                       record->body_hash, !record->answer_json.empty(),
+                       record->accepted_unix_ms, record->answer_json});
+      }
+    }
+    return out;
+  }
+
+  void Import(const std::vector<RememberedKey>& keys) {
+    for (const auto& it : keys) {
+      // A minted key belongs to its incarnation for good.
+      if (it.key.starts_with(kMintedPrefix)) {
+        continue;
+      }
+      KeyRecord* record = FindRecord(it.key);
+      if (record == nullptr) {
+        record = AddRecord(it.key, it.environment, it.body_hash,
+                           it.accepted_unix_ms);
+        Retain(*record);
+      }
+      // A key that was accepted here keeps its own answer.
+      if (it.finished && record->job == 0 && record->answer_json.empty()) {
+        record->answer_json = it.answer_json;
+      }
+    }
+  }
+
+  size_t jobs_in_progress() const { return jobs_.size(); }
+  size_t remembered_keys() const { return records_.size(); }
+
+ private:
+  struct Counters {
+    explicit Counters(Metrics& metrics)
+        : accepted(metrics.counter("radishrail_jobs_accepted_total",
+                                   "Jobs accepted")),
+          refused(metrics.counter("radishrail_jobs_refused_total",
+                                  "Jobs refused before or after admission")),
+          joined(metrics.counter("radishrail_jobs_joined_total",
+                                 "Resubmissions of a remembered key")),
+          conflicts(metrics.counter("radishrail_jobs_conflicts_total",
+                                    "Keys used for another request")),
+          cancelled(metrics.counter("radishrail_jobs_cancelled_total",
+                                    "Jobs cancelled while in progress")),
+          complete(metrics.counter("radishrail_jobs_complete_total",
+                                   "Jobs answered complete")),
+          failed(metrics.counter("radishrail_jobs_failed_total",
+                                 "Jobs answered failed")),
+          not_run(metrics.counter("radishrail_jobs_not_run_total",
+                                  "Accepted jobs answered not_run")),
+          handed_over(metrics.counter("radishrail_tasks_handed_over_total",
+                                      "Tasks handed to upstreams")),
+          not_started(metrics.counter("radishrail_tasks_not_started_total",
+                                      "Hand-overs that did not start")),
+          retries(metrics.counter("radishrail_tasks_retried_total",
+                                  "Tasks queued again")),
+          retries_denied(metrics.counter("radishrail_task_retries_denied_total",
+                                         "Retries refused by a budget")),
+          dropped_results(
+              metrics.counter("radishrail_task_results_dropped_total",
+                              "Late or duplicate results")),
+          bad_placements(
+              metrics.counter("radishrail_placements_invalid_total",
+                              "Placements of tasks that are not queued")),
+          in_progress(metrics.gauge("radishrail_jobs_in_progress",
+                                    "Jobs without a final status")),
+          remembered(metrics.gauge("radishrail_keys_remembered",
+                                   "Keys kept for resubmissions")),
+          response(metrics.histogram("radishrail_job_response_seconds",
+                                     "Acceptance to answer")),
+          queued(metrics.histogram("radishrail_task_queued_seconds",
+                                   "Acceptance of the job to first hand-over")),
+          run(metrics.histogram("radishrail_task_run_seconds",
+                                "Run time of completed tasks")) {}
+    Counter& accepted;
+    Counter& refused;
+    Counter& joined;
+    Counter& conflicts;
+    Counter& cancelled;
+    Counter& complete;
+    Counter& failed;
+    Counter& not_run;
+    Counter& handed_over;
+    Counter& not_started;
+    Counter& retries;
+    Counter& retries_denied;
+    Counter& dropped_results;
+    Counter& bad_placements;
+    Gauge& in_progress;
+    Gauge& remembered;
+    Histogram& response;
+    Histogram& queued;
+    Histogram& run;
+  };
+
+  // One call from outside. The outermost one delivers answers when the table
+  // is consistent, so that a callback may call the controller again.
+  class Turn {
+   public:
+    explicit Turn(Impl& impl) : impl_(impl) { ++impl_.depth_; }
+    ~Turn() {
+      while (impl_.depth_ == 1 && !impl_.deliveries_.empty()) {
+        const Delivery next = std::move(impl_.deliveries_.front());
+        impl_.deliveries_.pop_front();
+        next.callback(*next.answer);
+      }
+      --impl_.depth_;
+    }
+    Turn(const Turn&) = delete;
+    Turn& operator=(const Turn&) = delete;
+
+   private:
+    Impl& impl_;
+  };
+
+  KeyRecord* FindRecord(std::string_view key) const {
+    const auto it = records_.find(Absl(key));
+    return it == records_.end() ? nullptr : it->second.get();
+  }
+
+  Job* FindJob(uint64_t number) const {
+    const auto it = jobs_.find(number);
+    return it == jobs_.end() ? nullptr : it->second.get();
+  }
+
+  void Deliver(AnswerCallback callback, JobAnswer answer) {
+    deliveries_.push_back(
+        {std::move(callback), std::make_shared<JobAnswer>(std::move(answer))});
+  }
+
+  void RecordEvent(EventType type,
+                   std::string_view job,
+                   std::string_view task = {},
+                   std::string_view upstream = {},
+                   std::string_view cause = {},
+                   int64_t document_version = 0) {
+    Event event;
+    event.type = type;
+    event.job = job;
+    event.task = task;
+    event.upstream = upstream;
+    event.cause = cause;
+    event.document_version = document_version;
+    timeline_.Record(std::move(event));
+  }
+
+  // --- Acceptance ---
+
+  static std::optional<Refusal> CheckAcceptable(
+      const JobSpec& spec,
+      const VersionedDocument* document) {
+    if (document == nullptr) {
+      return Refusal{{ErrorCode::kNotReady, Step::kEnvironment, "",
+                      "the environment has no document"},
+                     absl::Seconds(1)};
+    }
+    if (spec.tasks.empty() || spec.deadline <= kTransmissionMargin) {
+      return Refusal{
+          {ErrorCode::kInfeasible, Step::kAdmission, "",
+           absl::StrCat("a job needs a task and a deadline of more than ",
+                        absl::ToInt64Milliseconds(kTransmissionMargin),
+                        " ms; found ", spec.tasks.size(), " tasks and ",
+                        absl::ToInt64Milliseconds(spec.deadline), " ms")},
+          absl::ZeroDuration()};
+    }
+    return std::nullopt;
+  }
+
+  static JobDemand MakeDemand(uint64_t number,
+                              const JobSpec& spec,
+                              const VersionedDocument& document,
+                              absl::Time now) {
+    JobDemand demand;
+    demand.job = number;
+    demand.environment = spec.environment;
+    demand.team = spec.team;
+    demand.upstream_classes = document.document.upstream_classes;
+    demand.promise_by = now + document.document.promised;
+    demand.start_by = now + spec.deadline - kTransmissionMargin;
+    demand.max_queued_tasks = document.document.max_queued_tasks;
+    if (const TeamQuota* team = document.document.FindTeam(spec.team)) {
+      demand.team_share = team->share;
+      demand.team_max_running_tasks = team->max_running_tasks;
+    }
+    demand.tasks.reserve(spec.tasks.size());
+    for (const auto& it : spec.tasks) {
+      demand.tasks.push_back({it.kind, it.declared_run, it.declared_slots});
+    }
+    return demand;
+  }
+
+  void Refuse(const JobSpec& spec, Refusal refusal, AnswerCallback callback) {
+    counters_.refused.Add();
+    RecordEvent(EventType::kJobRefused, spec.key, "", "",
+                ErrorCodeName(refusal.error.code));
+    Deliver(std::move(callback),
+            NotRunAnswer(spec, std::move(refusal.error), refusal.retry_after));
+  }
+
+  void Add(uint64_t number,
+           JobSpec spec,
+           std::shared_ptr<const VersionedDocument> document,
+           AnswerCallback callback,
+           absl::Time now) {
+    counters_.accepted.Add();
+    RecordEvent(EventType::kJobAccepted, spec.key, "", "", "",
+                document->version);
+    auto job = std::make_unique<Job>();
+    job->number = number;
+    job->record = AddRecord(spec.key, spec.environment, spec.body_hash,
+                            absl::ToUnixMillis(clock_.Wall()));
+    job->record->job = number;
+    job->tasks.resize(spec.tasks.size());
+    SetKinds(spec, job->tasks);
+    job->queued = spec.tasks.size();
+    job->accepted = now;
+    job->start_by = now + spec.deadline;
+    job->spec = std::move(spec);
+    job->document = std::move(document);
+    job->callbacks.push_back(std::move(callback));
+    deadlines_.insert({job->start_by, number});
+    jobs_.emplace(number, std::move(job));
+  }
+
+  // Kinds of different environments are learned separately.
+  void SetKinds(const JobSpec& spec, std::vector<Task>& tasks) {
+    for (size_t i = 0; i < tasks.size(); ++i) {
+      const std::string& kind = spec.tasks[i].kind;
+      tasks[i].kind = i > 0 && kind == spec.tasks[i - 1].kind
+                          ? tasks[i - 1].kind
+                          : KindNumber(spec.environment, kind);
+    }
+  }
+
+  uint32_t KindNumber(const std::string& environment, const std::string& kind) {
+    std::string name = absl::StrCat(environment, "\n", kind);
+    const auto it = kind_numbers_.find(name);
+    if (it != kind_numbers_.end()) {
+      return it->second;
+    }
+    if (kinds_.size() >= kMaxKinds) {
+      return 0;  // shared by all kinds past the bound; never learned
+    }
+    const auto number = static_cast<uint32_t>(kinds_.size());
+    kinds_.emplace_back();
+    kind_numbers_.emplace(std::move(name), number);
+    return number;
+  }
+
+  KeyRecord* AddRecord(const std::string& key,
+                       const std::string& environment,
+                       uint64_t body_hash,
+                       int64_t accepted_unix_ms) {
+    auto record = std::make_unique<KeyRecord>();
+    record->key = key;
+    record->environment = EnvironmentNumber(environment);
+    record->body_hash = body_hash;
+    record->accepted_unix_ms = accepted_unix_ms;
+    KeyRecord* result = record.get();
+    records_.emplace(Absl(result->key), std::move(record));
+    return result;
+  }
+
+  uint32_t EnvironmentNumber(const std::string& name) {
+    const auto [it, inserted] = environment_numbers_.emplace(
+        name, static_cast<uint32_t>(environments_.size()));
+    if (inserted) {
+      environments_.push_back(
+          {name, RetryBudget(kRetryBurst, clock_.Monotonic())});
+    }
+    return it->second;
+  }
+
+  // --- Hand-over ---
+
+  void PlaceTasks() {
+    for (size_t n = 0; n < kPlacementsPerTick; ++n) {
+      const std::optional<Placement> placement = scheduler_.Next();
+      if (!placement.has_value()) {
+        return;
+      }
+      Place(*placement);
+    }
+  }
+
+  void Place(const Placement& placement) {
+    const TaskRef ref = placement.task;
+    Job* job = FindJob(ref.job);
+    if (job == nullptr || ref.task >= job->tasks.size()) {
+      counters_.bad_placements.Add();
+      scheduler_.Finish(ref, std::nullopt);
+      return;
+    }
+    // Whatever the scheduler says, a task in progress is not started again.
+    if (job->tasks[ref.task].status != TaskStatus::kQueued) {
+      counters_.bad_placements.Add();
+      return;
+    }
+    const std::optional<UpstreamView> upstream =
+        upstreams_.Find(placement.upstream);
+    if (!upstream.has_value() || !upstream->accepting) {
+      scheduler_.Requeue(ref, clock_.Monotonic() + kPlacementRetryDelay,
+                         placement.upstream);
+      return;
+    }
+    // The wall clock is read first: a pause between the two readings then makes
+    // the start-by time earlier, never later.
+    const absl::Time wall = clock_.Wall();
+    const absl::Time now = clock_.Monotonic();
+    if (now >= job->start_by - kTransmissionMargin) {
+      scheduler_.Finish(ref, std::nullopt);
+      FinishTask(*job, ref.task, TaskStatus::kNotRun,
+                 {ErrorCode::kDeadlineExceeded, Step::kQueue, "", ""});
+      return;
+    }
+    HandOver(*job, ref.task, *upstream, wall, now);
+  }
+
+  void HandOver(Job& job,
+                uint32_t index,
+                const UpstreamView& upstream,
+                absl::Time wall,
+                absl::Time now) {
+    Task& task = job.tasks[index];
+    const TaskSpec& spec = job.spec.tasks[index];
+    --job.queued;
+    ++job.running;
+    job.dispatched = true;
+    task.status = TaskStatus::kRunning;
+    ++task.attempts;
+    task.upstream = upstream.id;
+    task.speed = upstream.speed;
+    task.started = now;
+    if (task.attempts == 1) {
+      counters_.queued.Record(now - job.accepted);
+      CountFirstAttempt(job, upstream.id, now);
+    }
+    counters_.handed_over.Add();
+    RecordEvent(EventType::kTaskHandedOver, job.spec.key, spec.id,
+                upstream.info.vm, "", job.document->version);
+    TaskStart start;
+    start.job_key = job.spec.key;
+    start.task_id = spec.id;
+    start.attempt = task.attempts;
+    start.kind = spec.kind;
+    start.payload = spec.payload;
+    start.address = upstream.info.address;
+    start.start_by_monotonic = job.start_by - kTransmissionMargin;
+    start.start_by_wall = wall + (job.start_by - now);
+    start.timeout = job.start_by - now;
+    // The client may call back before `Start` returns; `job` may be gone then.
+    client_.Start(std::move(start),
+                  [this, alive = std::weak_ptr<const bool>(alive_),
+                   ref = TaskRef{job.number, index}, attempt = task.attempts,
+                   id = upstream.id](TaskResult result) {
+                    if (!alive.expired()) {
+                      OnResult(ref, attempt, id, std::move(result));
+                    }
+                  });
+  }
+
+  void CountFirstAttempt(const Job& job, UpstreamId upstream, absl::Time now) {
+    environments_[job.record->environment].budget.OnFirstAttempt(
+        job.document->document.retry.budget_percent / 100.0);
+    if (upstream_budgets_.size() >= kMaxUpstreamBudgets) {
+      upstream_budgets_.clear();
+    }
+    UpstreamBudget(upstream, now).OnFirstAttempt(kUpstreamRetryShare);
+  }
+
+  RetryBudget& UpstreamBudget(UpstreamId upstream, absl::Time now) {
+    return upstream_budgets_
+        .try_emplace(upstream, RetryBudget(kUpstreamRetryBurst, now))
+        .first->second;
+  }
+
+  // --- Results ---
+
+  void OnResult(TaskRef ref,
+                int attempt,
+                UpstreamId upstream,
+                TaskResult result) {
+    const Turn turn(*this);
+    Job* job = FindJob(ref.job);
+    if (job == nullptr || job->tasks[ref.task].status != TaskStatus::kRunning ||
+        job->tasks[ref.task].attempts != attempt) {
+      Drop(job, ref, upstream, result);
+      return;
+    }
+    Task& task = job->tasks[ref.task];
+    if (result.run_time <= absl::ZeroDuration()) {
+      result.run_time = clock_.Monotonic() - task.started;
+    }
+    upstreams_.OnResult(upstream, result, kinds_[task.kind].expected());
+    switch (result.outcome) {
+      case TaskOutcome::kDone:
+        OnDone(*job, ref, std::move(result));
+        break;
+      case TaskOutcome::kFailed:
+        OnFailed(*job, ref, TaskStatus::kFailed, ErrorCode::kUpstreamFailed,
+                 std::move(result.error));
+        break;
+      case TaskOutcome::kNotStarted:
+        OnNotStarted(*job, ref, std::move(result.error));
+        break;
+      case TaskOutcome::kUnknown:
+        OnFailed(*job, ref, TaskStatus::kUnknown, ErrorCode::kOutcomeUnknown,
+                 std::move(result.error));
+        break;
+    }
+  }
+
+  // A late or duplicate result changes no task; what it says about the
+  // upstream itself still holds.
+  void Drop(const Job* job,
+            TaskRef ref,
+            UpstreamId upstream,
+            const TaskResult& result) {
+    counters_.dropped_results.Add();
+    const std::optional<UpstreamView> view = upstreams_.Find(upstream);
+    if (view.has_value() && result.upstream_leaving) {
+      upstreams_.OnLeaving(view->info.vm);
+    }
+    RecordEvent(EventType::kLateAnswerDropped, job ? job->spec.key : "",
+                job ? job->spec.tasks[ref.task].id : "",
+                view.has_value() ? view->info.vm : "");
+  }
+
+  void OnDone(Job& job, TaskRef ref, TaskResult result) {
+    Task& task = job.tasks[ref.task];
+    counters_.run.Record(result.run_time);
+    if (task.kind != 0) {
+      kinds_[task.kind].Learn(result.run_time, task.speed);
+    }
+    scheduler_.Finish(ref, result.run_time);
+    task.output = std::move(result.output);
+    FinishTask(job, ref.task, TaskStatus::kDone, {});
+  }
+
+  void OnFailed(Job& job,
+                TaskRef ref,
+                TaskStatus status,
+                ErrorCode code,
+                Error error) {
+    scheduler_.Finish(ref, std::nullopt);
+    FinishTask(job, ref.task, status,
+               WithContext(job, ref, std::move(error), code));
+  }
+
+  // Completes an error of the client, which may leave fields empty.
+  Error WithContext(const Job& job,
+                    TaskRef ref,
+                    Error error,
+                    ErrorCode code) const {
+    if (error.ok()) {
+      error.code = code;
+    }
+    if (error.step == Step::kNone) {
+      error.step = Step::kExecution;
+    }
+    if (error.peer.empty()) {
+      const auto view = upstreams_.Find(job.tasks[ref.task].upstream);
+      error.peer = view.has_value() ? view->info.vm : "";
+    }
+    return error;
+  }
+
+  void OnNotStarted(Job& job, TaskRef ref, Error error) {
+    Task& task = job.tasks[ref.task];
+    error = WithContext(job, ref, std::move(error), ErrorCode::kUpstreamBusy);
+    counters_.not_started.Add();
+    RecordEvent(EventType::kTaskNotStarted, job.spec.key,
+                job.spec.tasks[ref.task].id, error.peer,
+                ErrorCodeName(error.code));
+    const absl::Time now = clock_.Monotonic();
+    const absl::Duration backoff = Backoff(job, task.attempts);
+    if (!MayRetry(job, task, now, backoff, &error)) {
+      scheduler_.Finish(ref, std::nullopt);
+      FinishTask(job, ref.task, TaskStatus::kNotRun, std::move(error));
+      return;
+    }
+    counters_.retries.Add();
+    task.status = TaskStatus::kQueued;
+    --job.running;
+    ++job.queued;
+    scheduler_.Requeue(ref, now + backoff, task.upstream);
+  }
+
+  // Doubles with each attempt; jitter of half to one and a half times spreads
+  // tasks that were refused together.
+  absl::Duration Backoff(const Job& job, int attempts) {
+    absl::Duration backoff = job.document->document.retry.backoff;
+    for (int i = 1; i < attempts && backoff < kMaxBackoff; ++i) {
+      backoff *= 2;
+    }
+    return std::min(backoff, kMaxBackoff) * (0.5 + random_.Unit());
+  }
+
+  // Takes a token of both budgets if the task may be retried; otherwise adds
+  // the reason to `error`.
+  bool MayRetry(const Job& job,
+                const Task& task,
+                absl::Time now,
+                absl::Duration backoff,
+                Error* error) {
+    if (!job.error.ok()) {
+      return false;
+    }
+    const int max_attempts = job.document->document.retry.max_attempts;
+    if (task.attempts >= max_attempts) {
+      absl::StrAppend(&error->detail, error->detail.empty() ? "" : "; ",
+                      "no attempt left of ", max_attempts);
+      return false;
+    }
+    if (now + backoff >= job.start_by - kTransmissionMargin) {
+      absl::StrAppend(&error->detail, error->detail.empty() ? "" : "; ",
+                      "the deadline passes before the next attempt");
+      return false;
+    }
+    RetryBudget& of_environment = environments_[job.record->environment].budget;
+    RetryBudget& of_upstream = UpstreamBudget(task.upstream, now);
+    // Both are asked, so that both are filled up to the present.
+    const bool environment_allows = of_environment.HasToken(now);
+    const bool upstream_allows = of_upstream.HasToken(now);
+    if (!environment_allows || !upstream_allows) {
+      counters_.retries_denied.Add();
+      error->detail = absl::StrCat(
+          environment_allows ? "budget of the upstream"
+                             : "budget of the environment",
+          " after ", Absl(ErrorCodeName(error->code)), " ", error->detail);
+      error->code = ErrorCode::kRetryBudgetExhausted;
+      return false;
+    }
+    of_environment.Take();
+    of_upstream.Take();
+    return true;
+  }
+
+  // --- End of tasks and jobs ---
+
+  // Gives a task its final status. May end the job, so `job` is not used after.
+  void FinishTask(Job& job, uint32_t index, TaskStatus status, Error error) {
+    Task& task = job.tasks[index];
+    --(task.status == TaskStatus::kRunning ? job.running : job.queued);
+    task.status = status;
+    task.error = std::move(error);
+    job.done += status == TaskStatus::kDone ? 1 : 0;
+    RecordEvent(EventType::kTaskFinished, job.spec.key,
+                job.spec.tasks[index].id, task.error.peer,
+                TaskStatusName(status));
+    if (status != TaskStatus::kDone && job.error.ok()) {
+      job.error = task.error;
+      job.error.detail = absl::StrCat(
+          "task ", job.spec.tasks[index].id, ": ", Absl(TaskStatusName(status)),
+          task.error.detail.empty() ? "" : ": ", task.error.detail);
+      DropQueued(job);
+    }
+    EndIfWhole(job);
+  }
+
+  // Linear in the tasks of the job and called once per job, hence constant per
+  // task over the life of a job.
+  void DropQueued(Job& job) {
+    if (job.queued == 0) {
+      return;
+    }
+    scheduler_.Remove(job.number);
+    for (auto& it : job.tasks) {
+      if (it.status == TaskStatus::kQueued) {
+        it.status = TaskStatus::kNotRun;
+        it.error = {job.error.code == ErrorCode::kDeadlineExceeded
+                        ? ErrorCode::kDeadlineExceeded
+                        : ErrorCode::kCancelled,
+                    Step::kQueue, "", ""};
+      }
+    }
+    job.queued = 0;
+  }
+
+  void EndIfWhole(Job& job) {
+    if (job.queued == 0 && job.running == 0) {
+      End(job);
+    }
+  }
+
+  void End(Job& job) {
+    JobAnswer answer = MakeAnswer(job);
+    counters_.response.Record(clock_.Monotonic() - job.accepted);
+    RecordEvent(EventType::kJobAnswered, job.spec.key, "", "",
+                JobStatusName(answer.status), job.document->version);
+    (answer.status == JobStatus::kComplete ? counters_.complete
+     : answer.status == JobStatus::kFailed ? counters_.failed
+                                           : counters_.not_run)
+        .Add();
+    KeyRecord& record = *job.record;
+    record.job = 0;
+    // Of a job that did not run, nothing is remembered, so that the caller can
+    // submit it again. A cancelled key stays, so that a delayed duplicate of
+    // its submission does not run it.
+    if (answer.status != JobStatus::kNotRun || job.cancelled) {
+      record.answer_json = JobAnswerToJson(answer);
+      record.answer_json.shrink_to_fit();
+      Retain(record);
+    } else {
+      records_.erase(Absl(record.key));
+    }
+    const auto shared = std::make_shared<const JobAnswer>(std::move(answer));
+    for (auto& it : job.callbacks) {
+      deliveries_.push_back({std::move(it), shared});
+    }
+    deadlines_.erase({job.start_by, job.number});
+    jobs_.erase(job.number);
+  }
+
+  JobAnswer MakeAnswer(Job& job) {
+    JobAnswer answer;
+    answer.key = job.spec.key;
+    answer.environment = job.spec.environment;
+    answer.document_version = job.document->version;
+    if (job.done == job.tasks.size()) {
+      answer.status = JobStatus::kComplete;
+    } else {
+      answer.status = job.dispatched ? JobStatus::kFailed : JobStatus::kNotRun;
+      answer.error = job.error;
+    }
+    if (answer.status == JobStatus::kNotRun && !job.cancelled) {
+      // Jitter keeps the refused jobs of one moment from returning together.
+      answer.retry_after =
+          job.document->document.promised * (0.5 + 0.5 * random_.Unit());
+    }
+    answer.tasks.reserve(job.tasks.size());
+    for (size_t i = 0; i < job.tasks.size(); ++i) {
+      Task& task = job.tasks[i];
+      answer.tasks.push_back({job.spec.tasks[i].id, task.status,
+                              std::move(task.output), std::move(task.error)});
+    }
+    return answer;
+  }
+
+  // State of a job in progress; without outputs, since they are only given
+  // when the answer is whole.
+  static JobAnswer Progress(const Job& job) {
+    JobAnswer answer;
+    answer.key = job.spec.key;
+    answer.environment = job.spec.environment;
+    answer.document_version = job.document->version;
+    answer.tasks.reserve(job.tasks.size());
+    for (size_t i = 0; i < job.tasks.size(); ++i) {
+      answer.tasks.push_back(
+          {job.spec.tasks[i].id, job.tasks[i].status, "", {}});
+    }
+    return answer;
+  }
+
+  // The retained answer. An imported key without a usable one is unknown; its
+  // tasks are those of `job`, which has the same body.
+  JobAnswer Restore(const KeyRecord& record, const JobSpec* job) const {
+    if (!record.answer_json.empty()) {
+      std::optional<JobAnswer> answer =
+          ParseJobAnswer(record.answer_json, nullptr);
+      if (answer.has_value() && answer->key == record.key &&
+          IsFinal(answer->status) &&
+          (job == nullptr || answer->tasks.size() == job->tasks.size())) {
+        return std::move(*answer);
+      }
+    }
+    JobAnswer answer;
+    answer.key = record.key;
+    answer.environment = environments_[record.environment].name;
+    answer.status = JobStatus::kFailed;
+    answer.error = {ErrorCode::kOutcomeUnknown, Step::kOwnership, "",
+                    "the former owner of the key had not finished the job"};
+    if (job != nullptr) {
+      for (const auto& it : job->tasks) {
+        answer.tasks.push_back({it.id, TaskStatus::kUnknown, "", answer.error});
+      }
+    }
+    return answer;
+  }
+
+  // --- Work of a Tick ---
+
+  void ExpireJobs() {
+    const absl::Time now = clock_.Monotonic();
+    for (size_t n = 0; n < kExpiredJobsPerTick && !deadlines_.empty() &&
+                       deadlines_.begin()->first <= now;
+         ++n) {
+      Expire(*FindJob(deadlines_.begin()->second), now);
+    }
+  }
+
+  void Expire(Job& job, absl::Time now) {
+    if (job.error.ok()) {
+      job.error = {
+          ErrorCode::kDeadlineExceeded,
+          job.dispatched ? Step::kExecution : Step::kQueue, "",
+          absl::StrCat("the job was not finished within ",
+                       absl::ToInt64Milliseconds(job.spec.deadline), " ms")};
+    }
+    DropQueued(job);
+    for (uint32_t i = 0; i < job.tasks.size(); ++i) {
+      Task& task = job.tasks[i];
+      if (task.status == TaskStatus::kRunning) {
+        TaskResult result;
+        result.error.code = ErrorCode::kDeadlineExceeded;
+        result.run_time = now - task.started;
+        upstreams_.OnResult(task.upstream, result,
+                            kinds_[task.kind].expected());
+        scheduler_.Finish({job.number, i}, std::nullopt);
+        task.status = TaskStatus::kUnknown;
+        task.error = WithContext(job, {job.number, i}, result.error,
+                                 ErrorCode::kDeadlineExceeded);
+      }
+    }
+    job.running = 0;
+    End(job);
+  }
+
+  void RefuseHopeless() {
+    for (const uint64_t number : scheduler_.TakeHopeless()) {
+      Job* job = FindJob(number);
+      if (job == nullptr || job->dispatched || !job->error.ok()) {
+        continue;
+      }
+      counters_.refused.Add();
+      RecordEvent(EventType::kJobRefused, job->spec.key, "", "", "hopeless");
+      job->error = {ErrorCode::kOverloaded, Step::kQueue, "",
+                    "the promised response time can no longer be met"};
+      DropQueued(*job);
+      End(*job);
+    }
+  }
+
+  void Retain(KeyRecord& record) {
+    forget_queue_.emplace_back(
+        clock_.Monotonic() + kResubmissionWindow + kRetentionMargin, &record);
+  }
+
+  // All keys are retained for the same time, so the queue is in order.
+  void ForgetKeys() {
+    const absl::Time now = clock_.Monotonic();
+    for (size_t n = 0; n < kForgottenKeysPerTick && !forget_queue_.empty() &&
+                       forget_queue_.front().first <= now;
+         ++n) {
+      records_.erase(Absl(forget_queue_.front().second->key));
+      forget_queue_.pop_front();
+    }
+  }
+
+  void RecordTransitions() {
+    for (const auto& it : upstreams_.TakeTransitions()) {
+      const EventType type =
+          it.to == UpstreamState::kEjected   ? EventType::kUpstreamEjected
+          : it.to == UpstreamState::kLeaving ? EventType::kUpstreamLeaving
+                                             : EventType::kUpstreamReadmitted;
+      RecordEvent(type, "", "", it.vm, it.cause);
+    }
+  }
+
+  const Clock& clock_;
+  Random& random_;
+  Scheduler& scheduler_;
+  UpstreamRegistry& upstreams_;
+  UpstreamClient& client_;
+  Timeline& timeline_;
+  Counters counters_;
+
+  // The keys point into the records.
+  absl::flat_hash_map<absl::string_view, std::unique_ptr<KeyRecord>> records_;
+  std::deque<std::pair<absl::Time, KeyRecord*>> forget_queue_;
+  absl::flat_hash_map<uint64_t, std::unique_ptr<Job>> jobs_;
+  absl::btree_set<std::pair<absl::Time, uint64_t>> deadlines_;
+  absl::flat_hash_map<std::string, uint32_t> environment_numbers_;
+  std::vector<Environment> environments_;
+  absl::flat_hash_map<UpstreamId, RetryBudget> upstream_budgets_;
+  absl::flat_hash_map<std::string, uint32_t> kind_numbers_;
+  std::vector<KindModel> kinds_{1};  // number 0 is never learned
+  std::deque<Delivery> deliveries_;
+  int depth_ = 0;
+  uint64_t next_job_ = 1;
+  // Expires with the controller; the client may call back later.
+  const std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
+};
+
+JobController::JobController(const Clock& clock,
+                             Random& random,
+                             Scheduler& scheduler,
+                             UpstreamRegistry& upstreams,
+                             UpstreamClient& client,
+                             Metrics& metrics,
+                             Timeline& timeline)
+    : impl_(std::make_unique<Impl>(clock,
+                                   random,
+                                   scheduler,
+                                   upstreams,
+                                   client,
+                                   metrics,
+                                   timeline)) {}
+JobController::~JobController() = default;
+
+bool JobController::Knows(std::string_view key) const {
+  return impl_->Knows(key);
+}
+bool JobController::Join(const JobSpec& job, AnswerCallback callback) {
+  return impl_->Join(job, std::move(callback));
+}
+void JobController::Accept(JobSpec job,
+                           std::shared_ptr<const VersionedDocument> document,
+                           AnswerCallback callback) {
+  impl_->Accept(std::move(job), std::move(document), std::move(callback));
+}
+std::optional<JobAnswer> JobController::Find(std::string_view key) const {
+  return impl_->Find(key);
+}
+bool JobController::Cancel(std::string_view key) {
+  return impl_->Cancel(key);
+}
+void JobController::Tick() {
+  impl_->Tick();
+}
+std::vector<RememberedKey> JobController::Remembered() const {
+  return impl_->Remembered();
+}
+void JobController::Import(const std::vector<RememberedKey>& keys) {
+  impl_->Import(keys);
+}
+size_t JobController::jobs_in_progress() const {
+  return impl_->jobs_in_progress();
+}
+size_t JobController::remembered_keys() const {
+  return impl_->remembered_keys();
+}
+
+}  // namespace radishrail
--- /dev/null
+++ b/src/upstream_registry.cc
@@ -0,0 +1,534 @@
+#include "radishrail/upstream_registry.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+
+#include "absl/container/btree_set.h"
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/string_view.h"
+#include "name_table.h"
+
+namespace radishrail {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> kStateNames = {"healthy", "probation",
+                                                         "ejected", "leaving"};
+
+// Each sample moves the logarithm of the speed by at most this much times the
+// weight of the sample, so that one run that is many times longer than usual
+// counts like one that takes e times as long.
+constexpr double kMaxLogStep = 1.0;
+constexpr double kMinSpeedWeight = 0.05;
+// The initial speed of 1 counts like this many samples.
+constexpr double kPriorSamples = 4;
+constexpr double kMaxLogSpeed = 2.3;  // speeds from 0.1 to 10
+// A smaller change of the speed is not reported to the scheduler.
+constexpr double kReportedSpeedChange = 0.05;
+
+constexpr double kFailureWeight = 0.1;
+constexpr int kMinResultsForRate = 20;
+constexpr double kPrevailingRate = 0.6;
+constexpr double kPrevailingExcess = 0.3;
+// Probability below which a run of failures is not taken for chance, given the
+// failure rate of the other upstreams.
+constexpr double kChance = 1e-4;
+constexpr double kMaxOthersRate = 0.95;
+
+constexpr int kProbationSuccesses = 3;
+// A task in progress at its deadline counts as a failure of the upstream only
+// if it took this many times the learned run time of its kind.
+constexpr double kTimeoutFactor = 4;
+// Longer than the longest deadline, so that results still find the upstream.
+constexpr absl::Duration kForgetAfter = absl::Minutes(20);
+
+enum class Verdict { kSuccess, kFailure, kNeutral };
+
+Verdict Judge(const TaskResult& result, absl::Duration expected) {
+  switch (result.outcome) {
+    case TaskOutcome::kDone:
+      return Verdict::kSuccess;
+    case TaskOutcome::kFailed:
+      return Verdict::kFailure;
+    case TaskOutcome::kNotStarted:
+      // A busy or leaving upstream, or a passed start-by time, is no fault.
+      return result.error.code == ErrorCode::kUnreachable ||
+                     result.error.code == ErrorCode::kConnectionBroken ||
+                     result.error.code == ErrorCode::kProtocol
+                 ? Verdict::kFailure
+                 : Verdict::kNeutral;
+    case TaskOutcome::kUnknown:
+      break;
+  }
+  if (result.error.code == ErrorCode::kDeadlineExceeded) {
+    return expected > absl::ZeroDuration() &&
+                   result.run_time > kTimeoutFactor * expected
+               ? Verdict::kFailure
+               : Verdict::kNeutral;
+  }
+  return Verdict::kFailure;
+}
+
+struct Entry {
+  UpstreamId id = 0;
+  VmInfo info;
+  bool listed = true;
+  bool leaving = false;
+  bool replaced = false;  // the vm has a newer entry
+  bool dirty = false;
+  UpstreamState trust = UpstreamState::kHealthy;  // never kLeaving
+  uint64_t list_round = 0;
+  absl::Time unlisted_since;
+
+  double log_speed = 0;
+  double reported_speed = 1;
+  int speed_samples = 0;
+
+  double failure_rate = 0;
+  int consecutive_failures = 0;
+  int results = 0;  // since the last change of trust
+  int ejections = 0;
+  absl::Time ejected_until;
+  absl::Time healthy_since;
+
+  bool present() const { return listed && !leaving && !replaced; }
+  UpstreamState state() const {
+    return leaving ? UpstreamState::kLeaving : trust;
+  }
+  bool accepting() const {
+    return present() && trust != UpstreamState::kEjected;
+  }
+  int usable_slots() const {
+    return trust == UpstreamState::kProbation ? std::min(1, info.slots)
+                                              : info.slots;
+  }
+};
+
+absl::string_view Absl(std::string_view text) {
+  return {text.data(), text.size()};
+}
+
+}  // namespace
+
+std::string_view UpstreamStateName(UpstreamState state) {
+  return internal::NameOf(kStateNames, state);
+}
+
+class UpstreamRegistry::Impl {
+ public:
+  Impl(const UpstreamSettings& settings, const Clock& clock)
+      : settings_(settings), clock_(clock) {}
+
+  void OnVmList(const std::vector<VmInfo>& vms) {
+    ++list_round_;
+    for (const auto& it : vms) {
+      if (it.role == VmRole::kUpstream) {
+        Update(it);
+      }
+    }
+    for (auto& [id, entry] : entries_) {
+      if (entry->listed && entry->list_round != list_round_) {
+        SetListed(*entry, false);
+      }
+    }
+    Forget();
+  }
+
+  void OnLeaving(std::string_view vm) {
+    if (Entry* entry = FindEntry(vm)) {
+      SetLeaving(*entry, "announced");
+    }
+  }
+
+  void OnResult(UpstreamId upstream,
+                const TaskResult& result,
+                absl::Duration expected) {
+    Entry* entry = FindEntry(upstream);
+    if (entry == nullptr) {
+      return;
+    }
+    if (result.upstream_leaving ||
+        result.error.code == ErrorCode::kUpstreamLeaving) {
+      SetLeaving(*entry, "announced in a response");
+    }
+    const Verdict verdict = Judge(result, expected);
+    if (verdict == Verdict::kNeutral) {
+      return;
+    }
+    if (verdict == Verdict::kSuccess) {
+      LearnSpeed(*entry, result.run_time, expected);
+    }
+    LearnFailure(*entry, verdict == Verdict::kFailure);
+    UpdateTrust(*entry, verdict == Verdict::kFailure);
+  }
+
+  void Tick() {
+    const absl::Time now = clock_.Monotonic();
+    while (!ejected_.empty() && ejected_.begin()->first <= now) {
+      Entry& entry = *entries_.at(ejected_.begin()->second);
+      SetTrust(entry, UpstreamState::kProbation, "ejection time passed");
+    }
+    ReadmitAboveCap();
+  }
+
+  std::optional<UpstreamView> Find(UpstreamId upstream) const {
+    const auto it = entries_.find(upstream);
+    if (it == entries_.end()) {
+      return std::nullopt;
+    }
+    return View(*it->second);
+  }
+
+  std::optional<UpstreamView> FindByVm(std::string_view vm) const {
+    const auto it = by_vm_.find(Absl(vm));
+    return it == by_vm_.end() ? std::nullopt : Find(it->second);
+  }
+
+  std::vector<UpstreamView> All() const {
+    std::vector<UpstreamView> out;
+    for (const auto& [id, entry] : entries_) {
+      if (!entry->replaced) {
+        out.push_back(View(*entry));
+      }
+    }
+    std::sort(out.begin(), out.end(),
+              [](const auto& a, const auto& b) { return a.id < b.id; });
+    return out;
+  }
+
+  std::vector<UpstreamCapacity> TakeChanges() {
+    std::vector<UpstreamCapacity> out;
+    std::sort(dirty_.begin(), dirty_.end());
+    for (const UpstreamId id : dirty_) {
+      if (Entry* entry = FindEntry(id)) {
+        entry->dirty = false;
+        entry->reported_speed = Speed(*entry);
+        out.push_back({id, entry->info.upstream_class,
+                       entry->info.failure_domain,
+                       entry->info.failure_domain == settings_.failure_domain,
+                       entry->accepting() ? entry->usable_slots() : 0,
+                       entry->accepting(), entry->reported_speed});
+      }
+    }
+    dirty_.clear();
+    return out;
+  }
+
+  std::vector<UpstreamTransition> TakeTransitions() {
+    return std::exchange(transitions_, {});
+  }
+
+ private:
+  Entry* FindEntry(UpstreamId id) {
+    const auto it = entries_.find(id);
+    return it == entries_.end() ? nullptr : it->second.get();
+  }
+  Entry* FindEntry(std::string_view vm) {
+    const auto it = by_vm_.find(Absl(vm));
+    return it == by_vm_.end() ? nullptr : FindEntry(it->second);
+  }
+
+  UpstreamView View(const Entry& entry) const {
+    return {entry.id,     entry.info,   entry.state(),
+            Speed(entry), entry.listed, entry.accepting()};
+  }
+
+  void MarkDirty(Entry& entry) {
+    if (!entry.dirty) {
+      entry.dirty = true;
+      dirty_.push_back(entry.id);
+    }
+  }
+
+  // Applies a change of an entry and keeps the sums over present entries.
+  template <typename Change>
+  void Modify(Entry& entry, Change change) {
+    Count(entry, -1);
+    change();
+    Count(entry, 1);
+  }
+
+  void Count(const Entry& entry, int sign) {
+    if (entry.present()) {
+      present_ += sign;
+      ejected_present_ += entry.trust == UpstreamState::kEjected ? sign : 0;
+      sum_log_speed_ += sign * entry.log_speed;
+      sum_failure_rate_ += sign * entry.failure_rate;
+    }
+  }
+
+  // Relative to the mean, which fixes the scale: learned run times and speeds
+  // could otherwise drift together.
+  double Speed(const Entry& entry) const {
+    const double mean = present_ > 0 ? sum_log_speed_ / present_ : 0;
+    return std::exp(entry.log_speed - mean);
+  }
+
+  void Add(const VmInfo& info) {
+    auto entry = std::make_unique<Entry>();
+    entry->id = next_id_++;
+    entry->info = info;
+    entry->leaving = info.state == VmState::kLeaving;
+    entry->list_round = list_round_;
+    entry->healthy_since = clock_.Monotonic();
+    by_vm_[info.vm] = entry->id;
+    Count(*entry, 1);
+    MarkDirty(*entry);
+    entries_.emplace(entry->id, std::move(entry));
+  }
+
+  void Update(const VmInfo& info) {
+    Entry* entry = FindEntry(info.vm);
+    if (entry == nullptr) {
+      Add(info);
+      return;
+    }
+    // A second line for one vm would replace its entry on each read.
+    if (entry->list_round == list_round_) {
+      return;
+    }
+    const bool readmitted =
+        entry->leaving && !entry->listed && info.state == VmState::kLive;
+    if (entry->info.address != info.address || readmitted) {
+      Replace(*entry);
+      Add(info);
+      return;
+    }
+    entry->list_round = list_round_;
+    SetListed(*entry, true);
+    if (info.state == VmState::kLeaving) {
+      SetLeaving(*entry, "VM list");
+    }
+    if (entry->info.slots != info.slots ||
+        entry->info.upstream_class != info.upstream_class ||
+        entry->info.failure_domain != info.failure_domain) {
+      MarkDirty(*entry);
+    }
+    entry->info = info;
+  }
+
+  void Replace(Entry& entry) {
+    Modify(entry, [&] { entry.replaced = true; });
+    ejected_.erase({entry.ejected_until, entry.id});
+    if (entry.listed) {
+      entry.listed = false;
+      entry.unlisted_since = clock_.Monotonic();
+    }
+    MarkDirty(entry);
+  }
+
+  void SetListed(Entry& entry, bool listed) {
+    if (entry.listed == listed) {
+      return;
+    }
+    Modify(entry, [&] { entry.listed = listed; });
+    if (!listed) {
+      entry.unlisted_since = clock_.Monotonic();
+    }
+    MarkDirty(entry);
+  }
+
+  void SetLeaving(Entry& entry, std::string_view cause) {
+    if (entry.leaving) {
+      return;
+    }
+    transitions_.push_back({entry.info.vm, entry.state(),
+                            UpstreamState::kLeaving, std::string(cause)});
+    Modify(entry, [&] { entry.leaving = true; });
+    MarkDirty(entry);
+  }
+
+  void SetTrust(Entry& entry, UpstreamState trust, std::string_view cause) {
+    if (!entry.leaving) {
+      transitions_.push_back(
+          {entry.info.vm, entry.state(), trust, std::string(cause)});
+    }
+    ejected_.erase({entry.ejected_until, entry.id});
+    Modify(entry, [&] {
+      entry.trust = trust;
+      entry.failure_rate = 0;
+    });
+    entry.results = 0;
+    entry.consecutive_failures = 0;
+    MarkDirty(entry);
+  }
+
+  void LearnSpeed(Entry& entry, absl::Duration run, absl::Duration expected) {
+    if (run <= absl::ZeroDuration() || expected <= absl::ZeroDuration()) {
+      return;
+    }
+    ++entry.speed_samples;
+    const double weight =
+        std::max(kMinSpeedWeight, 1.0 / (entry.speed_samples + kPriorSamples));
+    const double sample = std::log(absl::FDivDuration(expected, run));
+    // `expected` holds at mean speed, so the sample is relative to the mean.
+    const double mean = present_ > 0 ? sum_log_speed_ / present_ : 0;
+    const double step =
+        std::clamp(sample + mean - entry.log_speed, -kMaxLogStep, kMaxLogStep);
+    Modify(entry, [&] {
+      entry.log_speed = std::clamp(entry.log_speed + weight * step,
+                                   -kMaxLogSpeed, kMaxLogSpeed);
+    });
+    if (std::abs(Speed(entry) / entry.reported_speed - 1) >
+        kReportedSpeedChange) {
+      MarkDirty(entry);
+    }
+  }
+
+  void LearnFailure(Entry& entry, bool failed) {
+    ++entry.results;
+    entry.consecutive_failures = failed ? entry.consecutive_failures + 1 : 0;
+    Modify(entry, [&] {
+      entry.failure_rate +=
+          kFailureWeight * ((failed ? 1.0 : 0.0) - entry.failure_rate);
+    });
+  }
+
+  // Mean failure rate of the other upstreams. Each counts the same, so that one
+  // that fails fast and therefore takes most tasks does not hide itself.
+  double OthersRate(const Entry& entry) const {
+    const int others = present_ - (entry.present() ? 1 : 0);
+    if (others <= 0) {
+      return 0;
+    }
+    const double own = entry.present() ? entry.failure_rate : 0;
+    return std::clamp((sum_failure_rate_ - own) / others, 0.0, kMaxOthersRate);
+  }
+
+  bool IsOutlier(const Entry& entry) const {
+    const double others = OthersRate(entry);
+    // If tasks fail everywhere, a run of failures must be longer to stand out.
+    double needed = settings_.ejection_failures;
+    if (others > 0) {
+      needed = std::max(needed, std::log(kChance) / std::log(others));
+    }
+    return entry.consecutive_failures >= needed ||
+           (entry.results >= kMinResultsForRate &&
+            entry.failure_rate >= kPrevailingRate &&
+            entry.failure_rate >= others + kPrevailingExcess);
+  }
+
+  // At least one of several may be ejected: with three upstreams, a share of
+  // 0.3 would otherwise protect one that fails every task.
+  int EjectionCap() const {
+    const auto share = static_cast<int>(settings_.max_ejected_share * present_);
+    return present_ > 1 ? std::max(1, share) : 0;
+  }
+  bool MayEject() const { return ejected_present_ < EjectionCap(); }
+
+  void UpdateTrust(Entry& entry, bool failed) {
+    if (entry.trust == UpstreamState::kProbation) {
+      if (failed && MayEject()) {
+        Eject(entry, "failed on probation");
+      } else if (!failed && entry.consecutive_failures == 0 &&
+                 entry.results >= kProbationSuccesses) {
+        SetTrust(entry, UpstreamState::kHealthy, "passed probation");
+        entry.healthy_since = clock_.Monotonic();
+      }
+    } else if (entry.trust == UpstreamState::kHealthy && failed &&
+               entry.present() && IsOutlier(entry) && MayEject()) {
+      // A long time without ejection ends the doubling.
+      if (clock_.Monotonic() - entry.healthy_since >=
+          settings_.max_ejection_time) {
+        entry.ejections = 0;
+      }
+      Eject(entry, "failing tasks");
+    }
+  }
+
+  // The cap sinks when other upstreams leave.
+  void ReadmitAboveCap() {
+    auto it = ejected_.begin();
+    while (it != ejected_.end() && ejected_present_ > EjectionCap()) {
+      Entry& entry = *entries_.at(it->second);
+      if (!entry.present()) {
+        ++it;
+        continue;
+      }
+      SetTrust(entry, UpstreamState::kProbation, "cap on ejections");
+      it = ejected_.begin();  // SetTrust removed the element
+    }
+  }
+
+  void Eject(Entry& entry, std::string_view cause) {
+    SetTrust(entry, UpstreamState::kEjected, cause);
+    absl::Duration time = settings_.ejection_time;
+    for (int i = 0; i < entry.ejections && time < settings_.max_ejection_time;
+         ++i) {
+      time *= 2;
+    }
+    ++entry.ejections;
+    entry.ejected_until =
+        clock_.Monotonic() + std::min(time, settings_.max_ejection_time);
+    ejected_.insert({entry.ejected_until, entry.id});
+  }
+
+  void Forget() {
+    const absl::Time before = clock_.Monotonic() - kForgetAfter;
+    absl::erase_if(entries_, [&](const auto& it) {
+      const Entry& entry = *it.second;
+      if (entry.listed || entry.unlisted_since > before) {
+        return false;
+      }
+      ejected_.erase({entry.ejected_until, entry.id});
+      if (!entry.replaced) {
+        by_vm_.erase(entry.info.vm);
+      }
+      return true;
+    });
+  }
+
+  const UpstreamSettings settings_;
+  const Clock& clock_;
+  absl::flat_hash_map<UpstreamId, std::unique_ptr<Entry>> entries_;
+  absl::flat_hash_map<std::string, UpstreamId> by_vm_;
+  absl::btree_set<std::pair<absl::Time, UpstreamId>> ejected_;
+  std::vector<UpstreamId> dirty_;
+  std::vector<UpstreamTransition> transitions_;
+  UpstreamId next_id_ = 0;
+  uint64_t list_round_ = 0;
+  int present_ = 0;
+  int ejected_present_ = 0;
+  double sum_log_speed_ = 0;
+  double sum_failure_rate_ = 0;
+};
+
+UpstreamRegistry::UpstreamRegistry(const UpstreamSettings& settings,
+                                   const Clock& clock)
+    : impl_(std::make_unique<Impl>(settings, clock)) {}
+UpstreamRegistry::~UpstreamRegistry() = default;
+
+void UpstreamRegistry::OnVmList(const std::vector<VmInfo>& vms) {
+  impl_->OnVmList(vms);
+}
+void UpstreamRegistry::OnLeaving(std::string_view vm) {
+  impl_->OnLeaving(vm);
+}
+void UpstreamRegistry::OnResult(UpstreamId upstream,
+                                const TaskResult& result,
+                                absl::Duration expected) {
+  impl_->OnResult(upstream, result, expected);
+}
+void UpstreamRegistry::Tick() {
+  impl_->Tick();
+}
+std::optional<UpstreamView> UpstreamRegistry::Find(UpstreamId upstream) const {
+  return impl_->Find(upstream);
+}
+std::optional<UpstreamView> UpstreamRegistry::FindByVm(
+    std::string_view vm) const {
+  return impl_->FindByVm(vm);
+}
+std::vector<UpstreamView> UpstreamRegistry::All() const {
+  return impl_->All();
+}
+std::vector<UpstreamCapacity> UpstreamRegistry::TakeChanges() {
+  return impl_->TakeChanges();
+}
+std::vector<UpstreamTransition> UpstreamRegistry::TakeTransitions() {
+  return impl_->TakeTransitions();
+}
+
+}  // namespace radishrail
--- /dev/null
+++ b/tests/upstream_registry_test.cc
@@ -0,0 +1,373 @@
+#include "radishrail/upstream_registry.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+#include "fakes.h"
+#include "gtest/gtest.h"
+#include "job_fakes.h"
+#include "radishrail/random.h"
+
+namespace radishrail {
+namespace {
+
+constexpr absl::Duration kExpected = absl::Milliseconds(100);
+
+class UpstreamRegistryTest : public testing::Test {
+ protected:
+  UpstreamRegistryTest() { List(TestVms(10)); }
+
+  void List(std::vector<VmInfo> vms) {
+    vms_ = std::move(vms);
+    registry_.OnVmList(vms_);
+  }
+  void Done(UpstreamId id,
+            absl::Duration run = kExpected,
+            absl::Duration expected = kExpected) {
+    registry_.OnResult(id, {TaskOutcome::kDone, "", {}, run}, expected);
+  }
+  void Fail(UpstreamId id, absl::Duration run = absl::Milliseconds(1)) {
+    registry_.OnResult(id, {TaskOutcome::kFailed, "", {}, run}, kExpected);
+  }
+  void Result(UpstreamId id, TaskOutcome outcome, ErrorCode code) {
+    TaskResult result;
+    result.outcome = outcome;
+    result.error.code = code;
+    registry_.OnResult(id, result, kExpected);
+  }
+  void Eject(UpstreamId id) {
+    for (int i = 0; i < 5; ++i) {
+      Fail(id);
+    }
+    ASSERT_EQ(State(id), UpstreamState::kEjected);
+  }
+  UpstreamState State(UpstreamId id) { return registry_.Find(id)->state; }
+  double Speed(UpstreamId id) { return registry_.Find(id)->speed; }
+  int Ejected() {
+    int n = 0;
+    for (const auto& it : registry_.All()) {
+      n += it.state == UpstreamState::kEjected ? 1 : 0;
+    }
+    return n;
+  }
+  void Advance(absl::Duration duration) {
+    clock_.Advance(duration);
+    registry_.Tick();
+  }
+  // The last reported capacity of an upstream, if it changed.
+  std::optional<UpstreamCapacity> Change(UpstreamId id) {
+    for (const auto& it : registry_.TakeChanges()) {
+      if (it.upstream == id) {
+        return it;
+      }
+    }
+    return std::nullopt;
+  }
+
+  FakeClock clock_;
+  UpstreamRegistry registry_{UpstreamSettings{"fd-a"}, clock_};
+  std::vector<VmInfo> vms_;
+};
+
+TEST_F(UpstreamRegistryTest, VmList_NewUpstreams_AreReportedOnce) {
+  std::vector<VmInfo> vms = TestVms(2, 4);
+  vms[1].failure_domain = "fd-b";
+  vms.push_back({"entry", VmRole::kEntry, "a", "fd-a", VmState::kLive, "", 0});
+  UpstreamRegistry registry(UpstreamSettings{"fd-a"}, clock_);
+  registry.OnVmList(vms);
+  const auto changes = registry.TakeChanges();
+  ASSERT_EQ(changes.size(), 2u);
+  EXPECT_TRUE(changes[0].accepting);
+  EXPECT_EQ(changes[0].slots, 4);
+  EXPECT_TRUE(changes[0].same_failure_domain);
+  EXPECT_FALSE(changes[1].same_failure_domain);
+  registry.OnVmList(vms);
+  EXPECT_TRUE(registry.TakeChanges().empty());
+}
+
+TEST_F(UpstreamRegistryTest, Speed_OfSlowUpstream_IsLearned) {
+  for (int i = 0; i < 200; ++i) {
+    for (UpstreamId id = 0; id < 10; ++id) {
+      Done(id, id == 3 ? 2 * kExpected : kExpected);
+    }
+  }
+  EXPECT_NEAR(Speed(3) / Speed(0), 0.5, 0.05);
+}
+
+// Guards against an upstream that looks slow because it ran a long kind.
+TEST_F(UpstreamRegistryTest, Speed_AfterLongTasksOfOtherKinds_IsUnchanged) {
+  for (int i = 0; i < 100; ++i) {
+    for (UpstreamId id = 0; id < 10; ++id) {
+      Done(id, id == 3 ? 50 * kExpected : kExpected,
+           id == 3 ? 50 * kExpected : kExpected);
+    }
+  }
+  EXPECT_NEAR(Speed(3), 1, 0.02);
+}
+
+TEST_F(UpstreamRegistryTest, Speed_AfterOneStraggler_ChangesLittle) {
+  for (int i = 0; i < 50; ++i) {
+    Done(3);
+  }
+  Done(3, 1000 * kExpected);
+  EXPECT_GT(Speed(3), 0.93);
+}
+
+// Guards against an upstream that fails at once and thereby looks fast.
+TEST_F(UpstreamRegistryTest, Speed_AfterFastFailures_IsUnchanged) {
+  for (int i = 0; i < 4; ++i) {
+    Fail(3);
+  }
+  EXPECT_DOUBLE_EQ(Speed(3), 1);
+}
+
+// Guards against learned run times and speeds that grow together.
+TEST_F(UpstreamRegistryTest, Speed_WhenAllRunSlower_StaysRelativeToMean) {
+  for (int i = 0; i < 300; ++i) {
+    for (UpstreamId id = 0; id < 10; ++id) {
+      Done(id, 3 * kExpected);
+    }
+  }
+  for (UpstreamId id = 0; id < 10; ++id) {
+    EXPECT_NEAR(Speed(id), 1, 0.05);
+  }
+}
+
+TEST_F(UpstreamRegistryTest, ConsecutiveFailures_EjectAndReport) {
+  registry_.TakeChanges();
+  Eject(3);
+  const auto change = Change(3);
+  ASSERT_TRUE(change.has_value());
+  EXPECT_FALSE(change->accepting);
+  const auto transitions = registry_.TakeTransitions();
+  ASSERT_EQ(transitions.size(), 1u);
+  EXPECT_EQ(transitions[0].vm, "w3");
+  EXPECT_EQ(transitions[0].to, UpstreamState::kEjected);
+}
+
+TEST_F(UpstreamRegistryTest, PrevailingFailures_Eject) {
+  for (int i = 0; i < 60; ++i) {
+    i % 4 == 0 ? Done(3) : Fail(3);
+  }
+  EXPECT_EQ(State(3), UpstreamState::kEjected);
+}
+
+TEST_F(UpstreamRegistryTest, RefusedConnections_Eject) {
+  for (int i = 0; i < 5; ++i) {
+    Result(3, TaskOutcome::kNotStarted, ErrorCode::kUnreachable);
+  }
+  EXPECT_EQ(State(3), UpstreamState::kEjected);
+}
+
+TEST_F(UpstreamRegistryTest, BusyOrExpired_IsNoFailure) {
+  for (int i = 0; i < 50; ++i) {
+    Result(3, TaskOutcome::kNotStarted, ErrorCode::kUpstreamBusy);
+    Result(3, TaskOutcome::kNotStarted, ErrorCode::kDeadlineExceeded);
+  }
+  EXPECT_EQ(State(3), UpstreamState::kHealthy);
+}
+
+// Guards against the ejection of workers for tasks with short deadlines, and
+// against a worker that hangs and is never ejected.
+TEST_F(UpstreamRegistryTest, Timeouts_CountOnlyFarBeyondLearnedRunTime) {
+  TaskResult result;
+  result.error.code = ErrorCode::kDeadlineExceeded;
+  for (int i = 0; i < 50; ++i) {
+    result.run_time = 2 * kExpected;
+    registry_.OnResult(3, result, kExpected);
+    registry_.OnResult(3, result, absl::ZeroDuration());
+  }
+  EXPECT_EQ(State(3), UpstreamState::kHealthy);
+  for (int i = 0; i < 5; ++i) {
+    result.run_time = 5 * kExpected;
+    registry_.OnResult(3, result, kExpected);
+  }
+  EXPECT_EQ(State(3), UpstreamState::kEjected);
+}
+
+TEST_F(UpstreamRegistryTest, Ejection_Ends_InProbationWithOneSlot) {
+  Eject(3);
+  Advance(absl::Seconds(4.9));
+  EXPECT_EQ(State(3), UpstreamState::kEjected);
+  registry_.TakeChanges();
+  Advance(absl::Seconds(0.1));
+  EXPECT_EQ(State(3), UpstreamState::kProbation);
+  EXPECT_EQ(Change(3)->slots, 1);
+  for (int i = 0; i < 3; ++i) {
+    Done(3);
+  }
+  EXPECT_EQ(State(3), UpstreamState::kHealthy);
+  EXPECT_EQ(Change(3)->slots, 8);
+}
+
+TEST_F(UpstreamRegistryTest, FailureOnProbation_DoublesEjectionUpToMaximum) {
+  Eject(3);
+  for (const int seconds : {5, 10, 20, 40, 60, 60}) {
+    Advance(absl::Seconds(seconds) - absl::Milliseconds(1));
+    EXPECT_EQ(State(3), UpstreamState::kEjected) << seconds;
+    Advance(absl::Milliseconds(1));
+    EXPECT_EQ(State(3), UpstreamState::kProbation) << seconds;
+    Fail(3);
+  }
+}
+
+TEST_F(UpstreamRegistryTest, LongHealthyTime_ResetsEjectionTime) {
+  Eject(3);
+  Advance(absl::Seconds(5));
+  for (int i = 0; i < 3; ++i) {
+    Done(3);
+  }
+  Advance(absl::Seconds(60));
+  Eject(3);
+  Advance(absl::Seconds(5));
+  EXPECT_EQ(State(3), UpstreamState::kProbation);
+}
+
+// Guards against the ejection of the whole fleet by tasks that fail anywhere.
+TEST_F(UpstreamRegistryTest, TasksThatFailEverywhere_EjectAtMostTheCap) {
+  for (int i = 0; i < 500; ++i) {
+    Fail(i % 10);
+  }
+  EXPECT_LE(Ejected(), 3);
+}
+
+// Guards against a worker that fails fast, takes most tasks and thereby raises
+// the mean failure rate until it looks normal.
+TEST_F(UpstreamRegistryTest, WorkerThatTakesMostTasksAndFails_IsEjected) {
+  int needed = 0;
+  for (; State(3) != UpstreamState::kEjected && needed < 100; ++needed) {
+    Fail(3);
+    if (needed % 10 == 0) {
+      Done(needed / 10);
+    }
+  }
+  EXPECT_LE(needed, 20);
+}
+
+TEST_F(UpstreamRegistryTest, Leaving_FromListOrOwnWord_StopsNewWorkAtOnce) {
+  registry_.TakeChanges();
+  registry_.OnLeaving("w1");
+  TaskResult result{TaskOutcome::kDone, "", {}, kExpected, true};
+  registry_.OnResult(2, result, kExpected);
+  vms_[3].state = VmState::kLeaving;
+  registry_.OnVmList(vms_);
+  for (const UpstreamId id : {1, 2, 3}) {
+    EXPECT_EQ(State(id), UpstreamState::kLeaving);
+    EXPECT_FALSE(registry_.Find(id)->accepting);
+  }
+  EXPECT_EQ(registry_.TakeChanges().size(), 3u);
+}
+
+// Guards against a lagging list that calls a leaving upstream live again.
+TEST_F(UpstreamRegistryTest, Leaving_WhileListSaysLive_IsFinal) {
+  registry_.OnLeaving("w1");
+  registry_.OnVmList(vms_);
+  for (int i = 0; i < 5; ++i) {
+    Done(1);
+  }
+  EXPECT_EQ(State(1), UpstreamState::kLeaving);
+}
+
+TEST_F(UpstreamRegistryTest, Leaving_ThenAbsentThenLive_IsNewUpstream) {
+  registry_.OnLeaving("w1");
+  std::vector<VmInfo> without = vms_;
+  without.erase(without.begin() + 1);
+  registry_.OnVmList(without);
+  registry_.OnVmList(vms_);
+  const auto view = registry_.FindByVm("w1");
+  EXPECT_NE(view->id, 1u);
+  EXPECT_TRUE(view->accepting);
+  EXPECT_FALSE(registry_.Find(1)->accepting);
+}
+
+TEST_F(UpstreamRegistryTest, VmMissingFromList_GetsNoNewWorkUntilItReturns) {
+  std::vector<VmInfo> without = vms_;
+  without.erase(without.begin() + 1);
+  registry_.TakeChanges();
+  registry_.OnVmList(without);
+  EXPECT_FALSE(Change(1)->accepting);
+  registry_.OnVmList(vms_);
+  EXPECT_TRUE(Change(1)->accepting);
+  EXPECT_EQ(registry_.FindByVm("w1")->id, 1u);
+}
+
+// Guards against ejections and speeds of a replaced vm that stick to its name.
+TEST_F(UpstreamRegistryTest, VmWithNewAddress_IsNewAndHealthy) {
+  Eject(1);
+  vms_[1].address = "127.0.0.1:999";
+  registry_.OnVmList(vms_);
+  const auto view = registry_.FindByVm("w1");
+  EXPECT_NE(view->id, 1u);
+  EXPECT_EQ(view->state, UpstreamState::kHealthy);
+  EXPECT_FALSE(registry_.Find(1)->accepting);
+  EXPECT_EQ(registry_.All().size(), 10u);
+  // Late results of the former vm do not touch the new one.
+  for (int i = 0; i < 10; ++i) {
+    Fail(1);
+  }
+  EXPECT_EQ(registry_.FindByVm("w1")->state, UpstreamState::kHealthy);
+}
+
+TEST_F(UpstreamRegistryTest, VmListedTwice_KeepsItsEntry) {
+  vms_.push_back(vms_[1]);
+  vms_.back().address = "127.0.0.1:999";
+  registry_.OnVmList(vms_);
+  EXPECT_EQ(registry_.FindByVm("w1")->id, 1u);
+}
+
+// Guards against memory that grows with every replaced vm.
+TEST_F(UpstreamRegistryTest, VmLongMissing_IsForgotten) {
+  Eject(1);
+  registry_.OnVmList({});
+  Advance(absl::Minutes(21));
+  registry_.OnVmList({});
+  EXPECT_TRUE(registry_.All().empty());
+  EXPECT_FALSE(registry_.Find(1).has_value());
+  EXPECT_FALSE(registry_.FindByVm("w1").has_value());
+}
+
+// Guards against sums over present upstreams that drift, and against more
+// ejections than the cap, under arbitrary events.
+TEST_F(UpstreamRegistryTest, RandomEvents_KeepCapAndLeavingFinal) {
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    SeededRandom random(seed);
+    UpstreamRegistry registry(UpstreamSettings{"fd-a"}, clock_);
+    const std::vector<VmInfo> vms = TestVms(10);
+    registry.OnVmList(vms);
+    std::set<UpstreamId> leaving;
+    for (int step = 0; step < 500; ++step) {
+      const auto id = static_cast<UpstreamId>(random.Below(12));
+      TaskResult result;
+      result.run_time = absl::Milliseconds(random.Below(500));
+      result.outcome = static_cast<TaskOutcome>(random.Below(4));
+      registry.OnResult(id, result, kExpected);
+      clock_.Advance(absl::Milliseconds(random.Below(200)));
+      if (random.Below(100) == 0) {
+        std::vector<VmInfo> some = vms;
+        some.erase(some.begin() + static_cast<int64_t>(random.Below(10)));
+        registry.OnVmList(some);
+      } else if (random.Below(100) == 0 && registry.Find(id).has_value()) {
+        leaving.insert(id);
+        registry.OnLeaving(registry.Find(id)->info.vm);
+      }
+      registry.Tick();
+      int present = 0;
+      int ejected = 0;
+      for (const auto& it : registry.All()) {
+        const bool counts = it.listed && it.state != UpstreamState::kLeaving;
+        present += counts ? 1 : 0;
+        ejected += counts && it.state == UpstreamState::kEjected ? 1 : 0;
+        ASSERT_GT(it.speed, 0.0);
+      }
+      ASSERT_LE(ejected, present > 1 ? std::max(1, present * 3 / 10) : 0);
+      for (const UpstreamId gone : leaving) {
+        ASSERT_FALSE(registry.Find(gone)->accepting);
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace radishrail
