Add the document controller

Cause: daemons need the accepted environment documents within 9 s and operators need changes with one certain outcome. It relies on the object store keeping the first body written under a name.

--- a/include/radishrail/document_controller.h
+++ b/include/radishrail/document_controller.h
@@ -64,7 +64,8 @@
                      PeerListFunction reachable_peers);
   ~DocumentController();
 
-  // Polls the platform when due (every 2 s; jittered backoff while it fails).
+  // Polls the platform when due (every 2 s; jittered backoff while it fails)
+  // and continues changes that wait. Call it every 100 ms.
   void Tick();
   // Handles DocumentPull and DocumentPush; a heartbeat's revision is passed to
   // `OnPeerRevision`.
@@ -76,6 +77,11 @@
   bool ready() const;
   // Revision up to which all changes are applied.
   int64_t revision() const;
+  // False while the latest poll of the platform failed.
+  bool platform_readable() const;
+  // `function` runs for each document that comes into force.
+  void set_applied_function(
+      std::function<void(Stage, const VersionedDocument&)> function);
 
   // The document in force; nullptr if there is none.
   std::shared_ptr<const VersionedDocument> Find(std::string_view environment,
@@ -96,7 +102,8 @@
 
  private:
   class Impl;
-  std::unique_ptr<Impl> impl_;
+  // Shared with weak references in callbacks of the store.
+  std::shared_ptr<Impl> impl_;
 };
 
 }  // namespace radishrail
--- /dev/null
+++ b/src/document_change.cc
@@ -0,0 +1,390 @@
+#include "document_change.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "xxhash.h"
+
+namespace radishrail::internal {
+
+namespace {
+
+// Daemons that are further behind read the environment rows instead.
+constexpr int64_t kKeptLogRows = 1000;
+// Each conflict means that another change was accepted; more in a row mean
+// several changes per second on the one head row.
+constexpr int kMaxConflicts = 20;
+constexpr absl::Duration kConflictDelay = absl::Milliseconds(50);
+// Attempts to learn or settle the outcome; with doubling delays from 100 ms
+// they take up to 6 s plus the platform's timeouts.
+constexpr int kMaxResolutions = 6;
+constexpr absl::Duration kResolutionDelay = absl::Milliseconds(100);
+
+}  // namespace
+
+std::string ChangeRequest::Fingerprint() const {
+  if (stage == Stage::kProduction) {
+    return absl::StrCat("promote ", version, " replacing ", replaces);
+  }
+  return absl::StrCat(
+      "put ", absl::Hex(XXH64(body.data(), body.size(), 0), absl::kZeroPad16));
+}
+
+PendingChange::PendingChange(Random& random,
+                             Store& store,
+                             ChangeRequest request,
+                             ScheduleFunction schedule,
+                             DoneFunction done)
+    : random_(random),
+      store_(store),
+      request_(std::move(request)),
+      schedule_(std::move(schedule)),
+      done_(std::move(done)) {}
+
+Error PendingChange::InvalidRow(const std::string& key) const {
+  return {ErrorCode::kProtocol, Step::kPlatformRead, "platform",
+          absl::StrCat("row ", key, " has an invalid value")};
+}
+
+void PendingChange::ReadOperation() {
+  const std::string key = OperationKey(request_.operation);
+  store_.Read(key, [weak = weak_from_this(), key](std::optional<Row> row,
+                                                  const Error& error) {
+    const auto self = weak.lock();
+    if (self == nullptr) {
+      return;
+    }
+    if (!row.has_value()) {
+      self->ResolveLater(error);
+      return;
+    }
+    if (row->version == 0) {
+      self->in_doubt_ ? self->Abort() : self->ReadEnvironment();
+      return;
+    }
+    const std::optional<OperationRow> outcome = DecodeOperation(row->value);
+    if (outcome.has_value()) {
+      self->FinishWithRow(*outcome);
+    } else {
+      self->FinishUnknown(self->InvalidRow(key));
+    }
+  });
+}
+
+void PendingChange::ReadEnvironment() {
+  const std::string key = EnvironmentKey(request_.environment);
+  store_.Read(key, [weak = weak_from_this(), key](std::optional<Row> row,
+                                                  const Error& error) {
+    const auto self = weak.lock();
+    if (self == nullptr) {
+      return;
+    }
+    if (!row.has_value()) {
+      self->ResolveLater(error);
+      return;
+    }
+    std::optional<EnvironmentRow> environment = DecodeEnvironment(row->value);
+    if (!environment.has_value()) {
+      self->FinishUnknown(self->InvalidRow(key));
+      return;
+    }
+    self->environment_ = *std::move(environment);
+    self->environment_version_ = row->version;
+    self->ReadHead();
+  });
+}
+
+void PendingChange::ReadHead() {
+  store_.Read(kHeadKey, [weak = weak_from_this()](std::optional<Row> row,
+                                                  const Error& error) {
+    const auto self = weak.lock();
+    if (self == nullptr) {
+      return;
+    }
+    if (!row.has_value()) {
+      self->ResolveLater(error);
+      return;
+    }
+    const std::optional<int64_t> revision = DecodeHead(row->value);
+    if (!revision.has_value()) {
+      self->FinishUnknown(self->InvalidRow(kHeadKey));
+      return;
+    }
+    self->revision_ = *revision + 1;
+    self->head_version_ = row->version;
+    self->Evaluate();
+  });
+}
+
+void PendingChange::Evaluate() {
+  if (request_.stage == Stage::kProduction) {
+    EvaluatePromotion();
+    return;
+  }
+  // Two operators who edit at once must not overwrite each other unseen, so
+  // the second of two racing puts is rejected.
+  const StageState& trial = environment_.trial;
+  if (base_trial_.has_value() && *base_trial_ != trial.version) {
+    Reject(ErrorCode::kConflict,
+           absl::StrCat("operation ", trial.operation, " put trial version ",
+                        trial.version, " at the same time"));
+    return;
+  }
+  base_trial_ = trial.version;
+  version_ = std::max(version_, environment_.last_version) + 1;
+  body_ = request_.body;
+  PutBody();
+}
+
+void PendingChange::EvaluatePromotion() {
+  const StageState& production = environment_.production;
+  if (environment_.last_version == 0) {
+    Reject(
+        ErrorCode::kNotFound,
+        absl::StrCat("environment ", request_.environment, " does not exist"));
+    return;
+  }
+  if (production.version != request_.replaces) {
+    Reject(ErrorCode::kConflict,
+           production.version == 0
+               ? absl::StrCat("there is no production version yet, so that "
+                              "version ",
+                              request_.replaces, " cannot be replaced")
+               : absl::StrCat("operation ", production.operation,
+                              " already promoted version ", production.version,
+                              "; this request replaces version ",
+                              request_.replaces));
+    return;
+  }
+  const auto& candidates = environment_.candidates;
+  if (std::find(candidates.begin(), candidates.end(), request_.version) ==
+      candidates.end()) {
+    Reject(ErrorCode::kNotFound,
+           absl::StrCat("version ", request_.version,
+                        " is not a trial version above production version ",
+                        production.version, "; the latest trial version is ",
+                        environment_.trial.version));
+    return;
+  }
+  version_ = request_.version;
+  GetBody();
+}
+
+// Relies on the object store keeping the first body written under a name: the
+// body of an accepted version can then never change, whoever writes late.
+void PendingChange::PutBody() {
+  store_.PutObject(ObjectName(request_.environment, version_), request_.body,
+                   [weak = weak_from_this()](std::optional<std::string> stored,
+                                             const Error& error) {
+                     const auto self = weak.lock();
+                     if (self == nullptr) {
+                       return;
+                     }
+                     if (!stored.has_value()) {
+                       self->ResolveLater(error);
+                     } else if (*stored != self->request_.body) {
+                       // A change that was not committed left this object.
+                       ++self->version_;
+                       self->PutBody();
+                     } else {
+                       self->Commit();
+                     }
+                   });
+}
+
+// A version whose body cannot be read must not become effective.
+void PendingChange::GetBody() {
+  store_.GetObject(ObjectName(request_.environment, version_),
+                   [weak = weak_from_this()](std::optional<std::string> body,
+                                             const Error& error) {
+                     const auto self = weak.lock();
+                     if (self == nullptr) {
+                       return;
+                     }
+                     if (!body.has_value()) {
+                       self->ResolveLater(error);
+                       return;
+                     }
+                     self->body_ = *std::move(body);
+                     self->Commit();
+                   });
+}
+
+void PendingChange::Commit() {
+  EnvironmentRow next = environment_;
+  const StageState state{version_, revision_, request_.operation};
+  if (request_.stage == Stage::kTrial) {
+    next.trial = state;
+    next.last_version = version_;
+    next.candidates.push_back(version_);
+    if (next.candidates.size() > kMaxCandidates) {
+      next.candidates.erase(next.candidates.begin());
+    }
+  } else {
+    next.production = state;
+    std::erase_if(next.candidates, [&](int64_t it) { return it <= version_; });
+  }
+  next.revision = revision_;
+  next.operation = request_.operation;
+  const OperationRow outcome{OperationState::kAccepted,
+                             request_.environment,
+                             request_.Fingerprint(),
+                             version_,
+                             revision_,
+                             ErrorCode::kOk,
+                             {}};
+  Transaction transaction;
+  transaction.checks = {
+      {OperationKey(request_.operation), 0},
+      {EnvironmentKey(request_.environment), environment_version_},
+      {kHeadKey, head_version_}};
+  transaction.writes = {
+      {OperationKey(request_.operation), EncodeOperation(outcome)},
+      {EnvironmentKey(request_.environment), EncodeEnvironment(next)},
+      {kHeadKey, EncodeHead(revision_)},
+      {LogKey(revision_),
+       EncodeLog({request_.environment, request_.stage, version_})}};
+  if (revision_ > kKeptLogRows) {
+    transaction.writes.push_back(
+        {LogKey(revision_ - kKeptLogRows), std::nullopt});
+  }
+  store_.Transact(std::move(transaction),
+                  [weak = weak_from_this(), outcome](
+                      TransactionOutcome result,
+                      const std::string& /*conflict*/, const Error& error) {
+                    const auto self = weak.lock();
+                    if (self == nullptr) {
+                      return;
+                    }
+                    switch (result) {
+                      case TransactionOutcome::kCommitted:
+                        self->FinishWithRow(outcome);
+                        break;
+                      case TransactionOutcome::kConflict:
+                        self->RetryAfterConflict();
+                        break;
+                      case TransactionOutcome::kUnknown:
+                        self->in_doubt_ = true;
+                        self->ResolveLater(error);
+                        break;
+                    }
+                  });
+}
+
+void PendingChange::RetryAfterConflict() {
+  if (++conflicts_ > kMaxConflicts) {
+    Reject(ErrorCode::kConflict, "too many other changes at the same time");
+    return;
+  }
+  // The operation's row is read first: it may be this very change, sent twice,
+  // that won.
+  const absl::Duration delay = kConflictDelay * (conflicts_ * random_.Unit());
+  schedule_(delay, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->ReadOperation();
+    }
+  });
+}
+
+void PendingChange::ResolveLater(const Error& error) {
+  if (!in_doubt_) {
+    // This attempt wrote nothing, but an earlier one with the same id may have.
+    FinishUnknown(error);
+    return;
+  }
+  if (++resolutions_ > kMaxResolutions) {
+    FinishUnknown(error);
+    return;
+  }
+  const absl::Duration delay =
+      kResolutionDelay * ((1 << resolutions_) * (0.5 + random_.Unit() / 2));
+  schedule_(delay, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->ReadOperation();
+    }
+  });
+}
+
+void PendingChange::Abort() {
+  Reject(ErrorCode::kPlatformUnavailable,
+         "the platform's response was lost and the change was cancelled; "
+         "submit it again with a new operation id");
+}
+
+void PendingChange::Reject(ErrorCode code, std::string detail) {
+  WriteOutcome({OperationState::kRejected, request_.environment,
+                request_.Fingerprint(), 0, 0, code, std::move(detail)});
+}
+
+void PendingChange::WriteOutcome(OperationRow row) {
+  Transaction transaction;
+  transaction.checks = {{OperationKey(request_.operation), 0}};
+  transaction.writes = {
+      {OperationKey(request_.operation), EncodeOperation(row)}};
+  store_.Transact(std::move(transaction),
+                  [weak = weak_from_this(), row = std::move(row)](
+                      TransactionOutcome result,
+                      const std::string& /*conflict*/, const Error& error) {
+                    const auto self = weak.lock();
+                    if (self == nullptr) {
+                      return;
+                    }
+                    switch (result) {
+                      case TransactionOutcome::kCommitted:
+                        self->FinishWithRow(row);
+                        break;
+                      case TransactionOutcome::kConflict:
+                        // The row was written meanwhile and has the outcome.
+                        self->ReadOperation();
+                        break;
+                      case TransactionOutcome::kUnknown:
+                        self->in_doubt_ = true;
+                        self->ResolveLater(error);
+                        break;
+                    }
+                  });
+}
+
+void PendingChange::FinishWithRow(const OperationRow& row) {
+  ChangeResult result;
+  if (row.environment != request_.environment ||
+      row.request != request_.Fingerprint()) {
+    result.outcome = ChangeOutcome::kRejected;
+    result.error = {ErrorCode::kConflict,
+                    Step::kDocument,
+                    {},
+                    absl::StrCat("operation id ", request_.operation,
+                                 " was used for another change: ", row.request,
+                                 " in environment ", row.environment)};
+  } else if (row.state == OperationState::kAccepted) {
+    result.outcome = ChangeOutcome::kAccepted;
+    result.version = row.version;
+    result.revision = row.revision;
+  } else {
+    result.outcome = ChangeOutcome::kRejected;
+    result.error = {row.code, Step::kDocument, {}, row.detail};
+  }
+  std::optional<DocumentChange> change;
+  // The body is at hand only if this call got as far as the transaction.
+  if (result.outcome == ChangeOutcome::kAccepted && version_ == row.version &&
+      revision_ == row.revision) {
+    change = DocumentChange{row.revision, row.environment,
+                            std::string(StageName(request_.stage)), row.version,
+                            body_};
+  }
+  done_(std::move(result), std::move(change));
+}
+
+void PendingChange::FinishUnknown(Error error) {
+  error.detail =
+      absl::StrCat(error.detail, error.detail.empty() ? "" : "; ",
+                   "the outcome is unknown, repeat with the same operation id ",
+                   request_.operation);
+  ChangeResult result;
+  result.outcome = ChangeOutcome::kUnknown;
+  result.error = std::move(error);
+  done_(std::move(result), std::nullopt);
+}
+
+}  // namespace radishrail::internal
--- /dev/null
+++ b/src/document_sync.cc
@@ -0,0 +1,223 @@
+#include "document_sync.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "document_rows.h"
+
+namespace radishrail::internal {
+
+namespace {
+
+// Above this gap, and on a fresh daemon, one List of the environment rows is
+// cheaper than a read of each log row.
+constexpr int64_t kMaxLogGap = 64;
+// Bounds the reads that one daemon has in progress at the platform.
+constexpr size_t kMaxParallelReads = 16;
+
+Error InvalidRow(const std::string& key) {
+  return {ErrorCode::kProtocol, Step::kPlatformRead, "platform",
+          absl::StrCat("row ", key, " has an invalid value")};
+}
+
+}  // namespace
+
+DocumentSync::DocumentSync(Store& store,
+                           DocumentTable& table,
+                           DoneFunction done)
+    : store_(store), table_(table), done_(std::move(done)) {}
+
+void DocumentSync::Start() {
+  store_.Read(kHeadKey, [weak = weak_from_this()](std::optional<Row> row,
+                                                  const Error& error) {
+    const auto self = weak.lock();
+    if (self == nullptr) {
+      return;
+    }
+    if (!row.has_value()) {
+      self->Finish(error);
+      return;
+    }
+    const std::optional<int64_t> revision = DecodeHead(row->value);
+    if (revision.has_value()) {
+      self->OnHead(*revision);
+    } else {
+      self->Finish(InvalidRow(kHeadKey));
+    }
+  });
+}
+
+void DocumentSync::OnHead(int64_t revision) {
+  head_ = revision;
+  if (table_.revision() >= head_) {
+    Finish({});
+  } else if (table_.revision() == 0 || head_ - table_.revision() > kMaxLogGap) {
+    ListEnvironments();
+  } else {
+    ReadLog();
+  }
+}
+
+void DocumentSync::ReadLog() {
+  const int64_t first = table_.revision() + 1;
+  target_ = std::min(
+      head_, table_.revision() + static_cast<int64_t>(kMaxParallelReads));
+  changes_.assign(static_cast<size_t>(target_ - first + 1), {});
+  pending_ = changes_.size();
+  log_has_gap_ = false;
+  for (size_t i = 0; i < changes_.size(); ++i) {
+    changes_[i].revision = first + static_cast<int64_t>(i);
+    store_.Read(LogKey(changes_[i].revision),
+                [weak = weak_from_this(), i](std::optional<Row> row,
+                                             const Error& error) {
+                  const auto self = weak.lock();
+                  if (self == nullptr || self->finished_) {
+                    return;
+                  }
+                  if (row.has_value()) {
+                    self->OnLogRow(i, *row);
+                  } else {
+                    self->Finish(error);
+                  }
+                });
+  }
+}
+
+void DocumentSync::OnLogRow(size_t index, const Row& row) {
+  const std::optional<LogRow> log = DecodeLog(row.value);
+  if (!log.has_value()) {
+    Finish(InvalidRow(row.key));
+    return;
+  }
+  // Old log rows are deleted.
+  log_has_gap_ |= row.version == 0;
+  changes_[index].environment = log->environment;
+  changes_[index].stage = std::string(StageName(log->stage));
+  changes_[index].version = log->version;
+  if (--pending_ > 0) {
+    return;
+  }
+  if (log_has_gap_) {
+    ListEnvironments();
+  } else {
+    FetchBodies();
+  }
+}
+
+void DocumentSync::ListEnvironments() {
+  store_.List(kEnvironmentPrefix,
+              [weak = weak_from_this()](std::optional<std::vector<Row>> rows,
+                                        const Error& error) {
+                const auto self = weak.lock();
+                if (self == nullptr) {
+                  return;
+                }
+                if (rows.has_value()) {
+                  self->OnEnvironments(*rows);
+                } else {
+                  self->Finish(error);
+                }
+              });
+}
+
+// The rows were read after the head, so they contain all changes up to it.
+void DocumentSync::OnEnvironments(const std::vector<Row>& rows) {
+  changes_.clear();
+  target_ = head_;
+  for (const auto& row : rows) {
+    const std::optional<EnvironmentRow> decoded = DecodeEnvironment(row.value);
+    if (!decoded.has_value()) {
+      Finish(InvalidRow(row.key));
+      return;
+    }
+    const std::string environment =
+        row.key.substr(std::string_view(kEnvironmentPrefix).size());
+    for (const Stage stage : {Stage::kTrial, Stage::kProduction}) {
+      const StageState& state =
+          stage == Stage::kTrial ? decoded->trial : decoded->production;
+      if (state.version > 0) {
+        changes_.push_back({state.revision,
+                            environment,
+                            std::string(StageName(stage)),
+                            state.version,
+                            {}});
+      }
+    }
+  }
+  std::sort(changes_.begin(), changes_.end(),
+            [](const DocumentChange& a, const DocumentChange& b) {
+              return a.revision < b.revision;
+            });
+  FetchBodies();
+}
+
+void DocumentSync::FetchBodies() {
+  // Only the last change of each stage counts, and only if the table lacks it.
+  std::set<std::pair<std::string, std::string>> seen;
+  std::vector<DocumentChange> needed;
+  for (auto it = changes_.rbegin(); it != changes_.rend(); ++it) {
+    const std::optional<Stage> stage = StageFromName(it->stage);
+    if (stage.has_value() && seen.emplace(it->environment, it->stage).second &&
+        table_.Version(it->environment, *stage) < it->version) {
+      needed.push_back(std::move(*it));
+    }
+  }
+  std::reverse(needed.begin(), needed.end());
+  changes_ = std::move(needed);
+  next_fetch_ = 0;
+  pending_ = 0;
+  ContinueFetch();
+}
+
+void DocumentSync::ContinueFetch() {
+  while (next_fetch_ < changes_.size() && pending_ < kMaxParallelReads) {
+    const size_t i = next_fetch_++;
+    DocumentChange& change = changes_[i];
+    if (const std::string* body =
+            table_.FindBody(change.environment, change.version)) {
+      change.body = *body;
+      continue;
+    }
+    ++pending_;
+    store_.GetObject(ObjectName(change.environment, change.version),
+                     [weak = weak_from_this(), i](
+                         std::optional<std::string> body, const Error& error) {
+                       const auto self = weak.lock();
+                       if (self == nullptr || self->finished_) {
+                         return;
+                       }
+                       if (!body.has_value()) {
+                         self->Finish(error);
+                         return;
+                       }
+                       self->changes_[i].body = *std::move(body);
+                       --self->pending_;
+                       self->ContinueFetch();
+                     });
+  }
+  if (next_fetch_ == changes_.size() && pending_ == 0) {
+    Apply();
+  }
+}
+
+void DocumentSync::Apply() {
+  for (const auto& it : changes_) {
+    table_.Apply(it);
+  }
+  table_.RaiseRevision(target_);
+  changes_.clear();
+  // The rest of the log; peers may have delivered it meanwhile.
+  OnHead(head_);
+}
+
+void DocumentSync::Finish(const Error& error) {
+  if (!finished_) {
+    finished_ = true;
+    done_(error);
+  }
+}
+
+}  // namespace radishrail::internal
--- /dev/null
+++ b/src/document_sync.h
@@ -0,0 +1,58 @@
+#ifndef RADISHRAIL_SRC_DOCUMENT_SYNC_H_
+#define RADISHRAIL_SRC_DOCUMENT_SYNC_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "document_table.h"
+#include "radishrail/store.h"
+
+namespace radishrail::internal {
+
+// One poll: reads `documents/head` and everything that the table lacks. Callers
+// drop it to cancel it; callbacks hold weak references.
+class DocumentSync : public std::enable_shared_from_this<DocumentSync> {
+ public:
+  // Not ok if the platform could not be read; the table is then as before or
+  // at an intermediate revision.
+  using DoneFunction = std::function<void(Error error)>;
+
+  DocumentSync(Store& store, DocumentTable& table, DoneFunction done);
+
+  void Start();
+
+ private:
+  void OnHead(int64_t revision);
+  void ReadLog();
+  void OnLogRow(size_t index, const Row& row);
+  void ListEnvironments();
+  void OnEnvironments(const std::vector<Row>& rows);
+  void AddStage(const std::string& environment,
+                const std::string& stage,
+                int64_t version,
+                int64_t revision);
+  void FetchBodies();
+  void ContinueFetch();
+  void Apply();
+  // Reports once; later callbacks find the sync finished.
+  void Finish(const Error& error);
+
+  Store& store_;
+  DocumentTable& table_;
+  DoneFunction done_;
+  int64_t head_ = 0;
+  // Revision of the table once `changes_` are applied.
+  int64_t target_ = 0;
+  std::vector<DocumentChange> changes_;
+  size_t pending_ = 0;
+  size_t next_fetch_ = 0;
+  bool log_has_gap_ = false;
+  bool finished_ = false;
+};
+
+}  // namespace radishrail::internal
+
+#endif  // RADISHRAIL_SRC_DOCUMENT_SYNC_H_
--- /dev/null
+++ b/src/document_table.h
@@ -0,0 +1,60 @@
+#ifndef RADISHRAIL_SRC_DOCUMENT_TABLE_H_
+#define RADISHRAIL_SRC_DOCUMENT_TABLE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "radishrail/document_controller.h"
+
+namespace radishrail::internal {
+
+// The documents that a daemon knows. Invariants: the version of a stage never
+// goes down; for every stage of every environment, the table has the latest
+// change up to `revision()` or a later one.
+class DocumentTable {
+ public:
+  using AppliedFunction =
+      std::function<void(Stage stage, const VersionedDocument& document)>;
+
+  int64_t revision() const { return revision_; }
+  void RaiseRevision(int64_t revision);
+  void set_applied_function(AppliedFunction function) {
+    applied_ = std::move(function);
+  }
+
+  // Keeps a change unless the same or a higher version is known.
+  void Apply(const DocumentChange& change);
+  int64_t Version(const std::string& environment, Stage stage) const;
+  // The body of a version, nullptr if neither stage is at this version.
+  const std::string* FindBody(const std::string& environment,
+                              int64_t version) const;
+  std::shared_ptr<const VersionedDocument> Find(std::string_view environment,
+                                                Stage stage) const;
+  std::vector<EnvironmentStatus> List() const;
+  // Known changes with a revision above `after` and up to `revision()`, in the
+  // order of revisions. Linear in the number of environments.
+  std::vector<DocumentChange> ChangesAfter(int64_t after) const;
+
+ private:
+  struct Entry {
+    std::shared_ptr<const VersionedDocument> latest;
+    // Differs from `latest` if that does not parse.
+    std::shared_ptr<const VersionedDocument> in_force;
+  };
+
+  const Entry* FindEntry(std::string_view environment, Stage stage) const;
+
+  std::map<std::string, std::map<Stage, Entry>, std::less<>> environments_;
+  int64_t revision_ = 0;
+  AppliedFunction applied_;
+};
+
+}  // namespace radishrail::internal
+
+#endif  // RADISHRAIL_SRC_DOCUMENT_TABLE_H_
