Add a virtual-time benchmark of scheduling policies

Cause: the scheduling policy has numeric targets and needs a measurement before it is written. Ruled out: a cluster simulator; a driver of event queue, fake runners and daemons at the Scheduler interface is enough.

--- /dev/null
+++ b/benchmark/driver.h
@@ -0,0 +1,481 @@
+#ifndef RADISHRAIL_BENCHMARK_DRIVER_H_
+#define RADISHRAIL_BENCHMARK_DRIVER_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "radishrail/clock.h"
+#include "radishrail/scheduler.h"
+#include "workload.h"
+
+namespace radishrail::benchmark {
+
+// Virtual time and the event queue. Events of the same time run in the order
+// in which they were posted.
+class EventLoop : public Clock {
+ public:
+  absl::Time Monotonic() const override {
+    return absl::FromUnixNanos(now_ + kSecond);
+  }
+  absl::Time Wall() const override { return Monotonic(); }
+  Nanos now() const { return now_; }
+
+  void At(Nanos time, std::function<void()> action) {
+    events_.push({std::max(time, now_), next_++, std::move(action)});
+  }
+  void After(Nanos delay, std::function<void()> action) {
+    At(now_ + delay, std::move(action));
+  }
+  // Runs until no event is left or `until` is reached.
+  void Run(Nanos until) {
+    while (!events_.empty() && events_.top().time <= until) {
+      now_ = events_.top().time;
+      // The action is moved out before the event is removed.
+      auto action = std::move(const_cast<Event&>(events_.top()).action);
+      events_.pop();
+      action();
+    }
+  }
+
+ private:
+  struct Event {
+    Nanos time = 0;
+    uint64_t number = 0;
+    std::function<void()> action;
+    bool operator<(const Event& other) const {
+      return std::pair(time, number) > std::pair(other.time, other.number);
+    }
+  };
+  std::priority_queue<Event> events_;
+  Nanos now_ = 0;
+  uint64_t next_ = 0;
+};
+
+struct DriverResult {
+  // Seconds from submission to the answer at the client; negative if the job
+  // was not run. In the order of the workload's jobs.
+  std::vector<double> responses;
+  uint64_t task_messages = 0;     // task requests and their answers
+  uint64_t control_messages = 0;  // messages about slots
+  uint64_t wasted_messages = 0;   // refusals and control without effect
+  uint64_t started_tasks = 0;
+  uint64_t cross_domain_tasks = 0;
+  uint64_t domains_used = 0;  // sum over jobs that completed
+  uint64_t completed = 0;
+};
+
+// View of the daemons that an allowance works with.
+class Fleet {
+ public:
+  virtual ~Fleet() = default;
+  virtual EventLoop& loop() = 0;
+  // True once all jobs have ended; periodic work stops then.
+  virtual bool done() const = 0;
+  virtual int daemons() const = 0;
+  virtual int weight(int daemon) const = 0;
+  virtual int daemon_domain(int daemon) const = 0;
+  virtual int runner_domain(int runner) const = 0;
+  virtual int queued(int daemon) const = 0;
+  virtual int running(int daemon, int runner) const = 0;
+  virtual Nanos DaemonLatency(int a, int b) const = 0;
+  virtual void CountControl(uint64_t messages, uint64_t wasted) = 0;
+  // Sets the slots of a runner that a daemon may use from now on.
+  virtual void SetSlots(int daemon, int runner, int slots) = 0;
+};
+
+// How the daemons share the slots of the runners.
+class Allowance {
+ public:
+  virtual ~Allowance() = default;
+  virtual void Start(Fleet& fleet) = 0;
+  // The demand or the use of a daemon changed.
+  virtual void OnChange(Fleet& /*fleet*/, int /*daemon*/) {}
+};
+
+// Each daemon owns a fixed part of each runner in proportion to its weight.
+// The remainders rotate, so that each daemon gets its part of fast runners.
+class StaticAllowance : public Allowance {
+ public:
+  void Start(Fleet& fleet) override {
+    int sum = 0;
+    for (int d = 0; d < fleet.daemons(); ++d) {
+      sum += fleet.weight(d);
+    }
+    std::vector<double> credit(fleet.daemons(), 0);
+    for (int r = 0; r < kRunners; ++r) {
+      std::vector<int> slots(fleet.daemons(), 0);
+      for (int d = 0; d < fleet.daemons(); ++d) {
+        credit[d] +=
+            static_cast<double>(kSlotsPerRunner) * fleet.weight(d) / sum;
+      }
+      for (int i = 0; i < kSlotsPerRunner; ++i) {
+        const auto it = std::max_element(credit.begin(), credit.end());
+        *it -= 1;
+        ++slots[it - credit.begin()];
+      }
+      for (int d = 0; d < fleet.daemons(); ++d) {
+        fleet.SetSlots(d, r, slots[d]);
+      }
+    }
+  }
+};
+
+// Every daemon may use every slot; a full runner refuses.
+class UnlimitedAllowance : public Allowance {
+ public:
+  void Start(Fleet& fleet) override {
+    for (int d = 0; d < fleet.daemons(); ++d) {
+      for (int r = 0; r < kRunners; ++r) {
+        fleet.SetSlots(d, r, kSlotsPerRunner);
+      }
+    }
+  }
+};
+
+// Stand-in for the slot broker: the home daemon of a runner lends its slots.
+// Every `interval` a daemon whose demand or use changed tells each home, and
+// each home sends the changed allowances of a daemon in one message. A lowered
+// allowance takes effect on arrival, so that a slot that is lent again at once
+// can be refused as busy.
+class LendingAllowance : public Allowance {
+ public:
+  explicit LendingAllowance(Nanos interval) : interval_(interval) {}
+
+  void Start(Fleet& fleet) override {
+    reports_.assign(fleet.daemons(), {});
+    for (auto& it : reports_) {
+      it.assign(fleet.daemons(), {});
+      for (auto& report : it) {
+        report.running.assign(kRunners, 0);
+      }
+    }
+    lent_.assign(fleet.daemons(), std::vector<int>(kRunners, 0));
+    homes_.assign(kRunners, 0);
+    for (int r = 0; r < kRunners; ++r) {
+      std::vector<int> candidates;
+      for (int d = 0; d < fleet.daemons(); ++d) {
+        if (fleet.daemon_domain(d) == fleet.runner_domain(r)) {
+          candidates.push_back(d);
+        }
+      }
+      homes_[r] = candidates[(r / 8) % candidates.size()];
+    }
+    for (int d = 0; d < fleet.daemons(); ++d) {
+      Lend(fleet, d);
+      const Nanos offset = interval_ * d / fleet.daemons();
+      fleet.loop().After(offset, [this, &fleet, d] { Tick(fleet, d); });
+    }
+  }
+
+ private:
+  struct Report {
+    int queued = 0;
+    std::vector<int> running;
+    bool operator==(const Report&) const = default;
+  };
+
+  void Tick(Fleet& fleet, int daemon) {
+    if (fleet.done()) {
+      return;
+    }
+    Report report;
+    report.queued = fleet.queued(daemon);
+    for (int r = 0; r < kRunners; ++r) {
+      report.running.push_back(fleet.running(daemon, r));
+    }
+    for (int home = 0; home < fleet.daemons(); ++home) {
+      if (home == daemon) {
+        reports_[home][daemon] = report;
+        continue;
+      }
+      if (report == last_sent_[daemon]) {
+        continue;
+      }
+      fleet.CountControl(1, 0);
+      fleet.loop().After(
+          fleet.DaemonLatency(daemon, home),
+          [this, home, daemon, report] { reports_[home][daemon] = report; });
+    }
+    last_sent_[daemon] = report;
+    Lend(fleet, daemon);
+    fleet.loop().After(interval_,
+                       [this, &fleet, daemon] { Tick(fleet, daemon); });
+  }
+
+  // Divides the idle slots of the runners of `home` by demand: queued tasks of
+  // each daemon, and its weight so that new demand finds slots at once.
+  void Lend(Fleet& fleet, int home) {
+    const int n = fleet.daemons();
+    std::vector<double> demand(n);
+    double sum = 0;
+    for (int d = 0; d < n; ++d) {
+      demand[d] = reports_[home][d].queued + 0.5 * fleet.weight(d);
+      sum += demand[d];
+    }
+    std::vector<std::vector<std::pair<int, int>>> changes(n);
+    std::vector<double> credit(n, 0);
+    for (int r = 0; r < kRunners; ++r) {
+      if (homes_[r] != home) {
+        continue;
+      }
+      int idle = kSlotsPerRunner;
+      std::vector<int> slots(n);
+      for (int d = 0; d < n; ++d) {
+        slots[d] = reports_[home][d].running[r];
+        idle -= slots[d];
+      }
+      for (int d = 0; d < n; ++d) {
+        credit[d] += std::max(idle, 0) * demand[d] / sum;
+      }
+      for (; idle > 0; --idle) {
+        const auto it = std::max_element(credit.begin(), credit.end());
+        *it -= 1;
+        ++slots[it - credit.begin()];
+      }
+      for (int d = 0; d < n; ++d) {
+        if (slots[d] != lent_[d][r]) {
+          lent_[d][r] = slots[d];
+          changes[d].push_back({r, slots[d]});
+        }
+      }
+    }
+    for (int d = 0; d < n; ++d) {
+      if (changes[d].empty()) {
+        continue;
+      }
+      if (d != home) {
+        fleet.CountControl(1, 0);
+      }
+      fleet.loop().After(fleet.DaemonLatency(home, d),
+                         [&fleet, d, list = std::move(changes[d])] {
+                           for (const auto& [runner, slots] : list) {
+                             fleet.SetSlots(d, runner, slots);
+                           }
+                         });
+    }
+  }
+
+  const Nanos interval_;
+  std::vector<std::vector<Report>> reports_;  // [home][daemon]
+  std::map<int, Report> last_sent_;
+  std::vector<std::vector<int>> lent_;  // [daemon][runner]
+  std::vector<int> homes_;
+};
+
+// Runs a workload on daemons with a scheduler each.
+class Driver : public Fleet {
+ public:
+  using SchedulerFactory =
+      std::function<std::unique_ptr<Scheduler>(const Clock&, int daemon)>;
+
+  Driver(const Deployment& deployment,
+         const Workload& workload,
+         const SchedulerFactory& factory,
+         Allowance& allowance)
+      : deployment_(deployment), workload_(workload), allowance_(allowance) {
+    for (size_t d = 0; d < deployment.daemon_weights.size(); ++d) {
+      Daemon daemon;
+      daemon.scheduler = factory(loop_, static_cast<int>(d));
+      daemon.running.assign(kRunners, 0);
+      daemons_.push_back(std::move(daemon));
+    }
+    busy_.assign(kRunners, 0);
+    jobs_.resize(workload.jobs.size());
+    result_.responses.assign(workload.jobs.size(), -1);
+  }
+
+  DriverResult Run() {
+    allowance_.Start(*this);
+    Nanos last = 0;
+    for (size_t i = 0; i < workload_.jobs.size(); ++i) {
+      const SimJob& job = workload_.jobs[i];
+      last = job.arrival;
+      loop_.At(job.arrival + kClientLatency, [this, i] { Submit(i); });
+    }
+    Tick();
+    // Every job ends or is past its start-by time by then.
+    loop_.Run(last + 700 * kSecond);
+    return std::move(result_);
+  }
+
+  EventLoop& loop() override { return loop_; }
+  bool done() const override { return done_; }
+  int daemons() const override { return static_cast<int>(daemons_.size()); }
+  int weight(int d) const override { return deployment_.daemon_weights[d]; }
+  int daemon_domain(int d) const override {
+    return d % deployment_.failure_domains;
+  }
+  int runner_domain(int r) const override {
+    return workload_.runners[r].failure_domain;
+  }
+  int queued(int d) const override {
+    return static_cast<int>(daemons_[d].scheduler->queued_tasks());
+  }
+  int running(int d, int r) const override { return daemons_[d].running[r]; }
+  Nanos DaemonLatency(int a, int b) const override {
+    return a == b ? 0 : Latency(daemon_domain(a), daemon_domain(b));
+  }
+  void CountControl(uint64_t messages, uint64_t wasted) override {
+    result_.control_messages += messages;
+    result_.wasted_messages += wasted;
+  }
+  void SetSlots(int d, int r, int slots) override {
+    UpstreamCapacity capacity;
+    capacity.upstream = r;
+    capacity.upstream_class = "runner";
+    capacity.failure_domain = absl::StrCat("fd-", runner_domain(r));
+    capacity.same_failure_domain = runner_domain(r) == daemon_domain(d);
+    capacity.slots = slots;
+    capacity.speed = workload_.runners[r].speed;
+    daemons_[d].scheduler->SetUpstream(capacity);
+    PumpSoon(d);
+  }
+
+ private:
+  struct Daemon {
+    std::unique_ptr<Scheduler> scheduler;
+    std::vector<int> running;  // per runner
+    bool pump_posted = false;
+  };
+  struct JobState {
+    int open = 0;
+    uint64_t domains = 0;  // bit set
+  };
+
+  Nanos Latency(int a, int b) const {
+    return a == b ? kLocalLatency : deployment_.cross_domain_latency;
+  }
+
+  void Submit(size_t i) {
+    const SimJob& job = workload_.jobs[i];
+    JobDemand demand;
+    demand.job = i;
+    demand.environment = job.environment;
+    demand.team = job.team;
+    demand.team_share = job.share;
+    demand.upstream_classes = {"runner"};
+    const absl::Time arrival = loop_.Monotonic();
+    demand.promise_by = arrival + absl::Nanoseconds(job.promised);
+    demand.start_by = arrival + absl::Seconds(570);
+    for (const auto& it : job.tasks) {
+      demand.tasks.push_back(
+          {absl::StrCat("kind-", it.kind), absl::Seconds(it.declared_s), 1});
+    }
+    jobs_[i].open = static_cast<int>(job.tasks.size());
+    if (!daemons_[job.daemon].scheduler->Admit(demand)) {
+      ++open_jobs_;
+    }
+    PumpSoon(job.daemon);
+  }
+
+  // All events of one instant are handled before tasks are placed.
+  void PumpSoon(int d) {
+    if (!daemons_[d].pump_posted) {
+      daemons_[d].pump_posted = true;
+      loop_.After(0, [this, d] { Pump(d); });
+    }
+  }
+
+  void Pump(int d) {
+    Daemon& daemon = daemons_[d];
+    daemon.pump_posted = false;
+    for (const uint64_t job : daemon.scheduler->TakeHopeless()) {
+      daemon.scheduler->Remove(job);
+      --open_jobs_;
+    }
+    while (const auto placement = daemon.scheduler->Next()) {
+      Send(d, *placement);
+    }
+    allowance_.OnChange(*this, d);
+  }
+
+  void Tick() {
+    for (int d = 0; d < daemons(); ++d) {
+      PumpSoon(d);
+    }
+    done_ = loop_.now() > workload_.jobs.back().arrival + 2 * kClientLatency &&
+            open_jobs_ == 0;
+    if (!done_) {
+      loop_.After(10 * kMillisecond, [this] { Tick(); });
+    }
+  }
+
+  void Send(int d, const Placement& placement) {
+    const int r = static_cast<int>(placement.upstream);
+    ++daemons_[d].running[r];
+    ++result_.task_messages;
+    const Nanos latency = Latency(daemon_domain(d), runner_domain(r));
+    loop_.After(latency, [this, d, placement, latency] {
+      Receive(d, placement, latency);
+    });
+  }
+
+  void Receive(int d, const Placement& placement, Nanos latency) {
+    const int r = static_cast<int>(placement.upstream);
+    ++result_.task_messages;
+    if (busy_[r] >= kSlotsPerRunner) {
+      result_.wasted_messages += 2;
+      loop_.After(latency, [this, d, placement] { Refused(d, placement); });
+      return;
+    }
+    ++busy_[r];
+    ++result_.started_tasks;
+    if (runner_domain(r) != daemon_domain(d)) {
+      ++result_.cross_domain_tasks;
+    }
+    jobs_[placement.task.job].domains |= uint64_t{1} << runner_domain(r);
+    const SimTask& task =
+        workload_.jobs[placement.task.job].tasks[placement.task.task];
+    const auto run =
+        static_cast<Nanos>(task.run_s / workload_.runners[r].speed * kSecond);
+    loop_.After(run, [this, r] { --busy_[r]; });
+    loop_.After(run + latency,
+                [this, d, placement, run] { Finished(d, placement, run); });
+  }
+
+  void Refused(int d, const Placement& placement) {
+    --daemons_[d].running[placement.upstream];
+    daemons_[d].scheduler->Requeue(placement.task,
+                                   loop_.Monotonic() + absl::Milliseconds(10),
+                                   placement.upstream);
+    PumpSoon(d);
+  }
+
+  void Finished(int d, const Placement& placement, Nanos run) {
+    --daemons_[d].running[placement.upstream];
+    daemons_[d].scheduler->Finish(placement.task, absl::Nanoseconds(run));
+    PumpSoon(d);
+    const uint64_t job = placement.task.job;
+    if (--jobs_[job].open == 0) {
+      --open_jobs_;
+      ++result_.completed;
+      result_.domains_used += __builtin_popcountll(jobs_[job].domains);
+      result_.responses[job] =
+          static_cast<double>(loop_.now() + kClientLatency -
+                              workload_.jobs[job].arrival) /
+          kSecond;
+    }
+  }
+
+  const Deployment& deployment_;
+  const Workload& workload_;
+  Allowance& allowance_;
+  EventLoop loop_;
+  std::vector<Daemon> daemons_;
+  std::vector<int> busy_;
+  std::vector<JobState> jobs_;
+  DriverResult result_;
+  int64_t open_jobs_ = 0;
+  bool done_ = false;
+};
+
+}  // namespace radishrail::benchmark
+
+#endif  // RADISHRAIL_BENCHMARK_DRIVER_H_
