Return borrowed slots to homes with longer queues

Cause: a borrower kept its loans as long as it had queued tasks, so a home with ten times the queue got none of its slots back (test: 48 of 96 slots before and after). Ruled out: taking slots back at the home, since tasks still run in them and the upstream would refuse new ones. Change: a grant carries the home's queue and slots; the borrower lets excess slots run empty and returns them. The node passes fresh demand before it lends. Conclusion: slots follow the queues in both directions.

--- a/include/radishrail/peer_message.h
+++ b/include/radishrail/peer_message.h
@@ -201,7 +201,9 @@
 struct SlotGrant {
   std::vector<SlotLoan> loans;
   uint32_t duration_ms = 0;
-  MSGPACK_DEFINE(loans, duration_ms);
+  uint32_t queued = 0;  // queued tasks of the sender
+  uint32_t slots = 0;   // slots that the sender may use at present
+  MSGPACK_DEFINE(loans, duration_ms, queued, slots);
 };
 
 // Tells peers which upstreams leave.
--- a/src/node.cc
+++ b/src/node.cc
@@ -154,6 +154,9 @@
       ownership_.OnPeerMessage(sender, message);
     } else {
       documents_.OnPeerMessage(sender, message);
+      if (std::holds_alternative<SlotRequest>(message)) {
+        SetBrokerDemand();  // so that only slots that are idle now are lent
+      }
       broker_.OnPeerMessage(sender, message);
       ownership_.OnPeerMessage(sender, message);
       ImportHandover();
@@ -372,7 +375,7 @@
     }
   }
 
-  void TickBroker() {
+  void SetBrokerDemand() {
     std::vector<SlotUse> use;
     use.reserve(running_.size());
     for (const auto& [address, n] : running_) {
@@ -382,6 +385,10 @@
       }
     }
     broker_.SetDemand(static_cast<int>(scheduler_->queued_tasks()), use);
+  }
+
+  void TickBroker() {
+    SetBrokerDemand();
     broker_.Tick();
     ApplyAllowances();
   }
--- a/src/slot_broker.cc
+++ b/src/slot_broker.cc
@@ -97,6 +97,8 @@
         grant.loans.push_back({name, static_cast<uint32_t>(it->second.slots)});
       }
     }
+    grant.queued = static_cast<uint32_t>(queued_);
+    grant.slots = static_cast<uint32_t>(TotalAllowance());
     ++messages_sent_;
     transport_.Send(sender.peer_address, grant);
     PublishAllowances();
@@ -114,6 +116,7 @@
     for (auto& [name, upstream] : upstreams_) {
       if (upstream.lender == sender.vm) {
         upstream.borrowed = 0;
+        upstream.usable = 0;
       }
     }
     for (const auto& it : grant.loans) {
@@ -129,8 +132,10 @@
       found->second.borrowed_until =
           now +
           std::min(kSlotLoanLength, absl::Milliseconds(grant.duration_ms));
+      found->second.usable = found->second.borrowed;
       found->second.renew_at = now + kRenewAfter;
     }
+    LimitLoans(sender.vm, grant);
     PublishAllowances();
   }
 
@@ -158,6 +163,7 @@
     // As a borrower.
     std::string lender;
     int borrowed = 0;
+    int usable = 0;  // at most `borrowed`; the rest is being returned
     absl::Time borrowed_until = absl::InfinitePast();
     absl::Time renew_at = absl::InfiniteFuture();
   };
@@ -184,7 +190,7 @@
       return std::max(
           0, upstream.slots - Sum(upstream.lent) - Sum(upstream.reserved));
     }
-    return upstream.borrowed;
+    return std::min(upstream.borrowed, upstream.usable);
   }
 
   // Slots of a home upstream that nobody uses. Reserved slots count as idle:
@@ -327,19 +333,43 @@
     }
   }
 
-  // Slots that would equalise queued tasks per slot of both daemons:
-  // q_r / (s_r + x) = q_h / (s_h - x).
-  int FairLoan(const SlotRequest& request) const {
-    const double requester_queue = request.queued;
-    const double home_queue = queued_;
+  // Slots that the home would lend so that both daemons have the same number
+  // of queued tasks per slot: q_r / (s_r + x) = q_h / (s_h - x), where neither
+  // number of slots contains a loan between them.
+  static int FairLoan(double requester_queue,
+                      double requester_slots,
+                      double home_queue,
+                      double home_slots) {
     if (requester_queue <= 0) {
       return 0;
     }
-    const double home_slots = TotalAllowance();
-    const double x = (requester_queue * home_slots -
-                      home_queue * static_cast<double>(request.slots)) /
-                     (requester_queue + home_queue);
-    return std::clamp(static_cast<int>(x), 0, static_cast<int>(home_slots));
+    const double x =
+        (requester_queue * home_slots - home_queue * requester_slots) /
+        (requester_queue + home_queue);
+    return static_cast<int>(std::clamp(x, 0.0, home_slots));
+  }
+
+  // Lets slots run empty that a home with more queued tasks per slot should
+  // have back; they are returned when their tasks have ended.
+  void LimitLoans(const std::string& home, const SlotGrant& grant) {
+    int borrowed = 0;
+    for (const auto& [name, upstream] : upstreams_) {
+      borrowed += upstream.lender == home ? upstream.borrowed : 0;
+    }
+    const int own = TotalAllowance() - borrowed;
+    int excess =
+        borrowed - FairLoan(queued_, own, grant.queued,
+                            static_cast<double>(grant.slots) + borrowed);
+    if (queued_ == 0 || grant.queued == 0) {
+      return;  // idle loans are returned in any case; an idle home needs none
+    }
+    for (auto& [name, upstream] : upstreams_) {
+      if (upstream.lender == home && excess > 0) {
+        const int n = std::min(excess, upstream.usable);
+        upstream.usable -= n;
+        excess -= n;
+      }
+    }
   }
 
   void LendIdleSlots(const std::string& vm,
@@ -348,9 +378,18 @@
     for (auto& [name, upstream] : upstreams_) {
       upstream.reserved.erase(vm);
     }
+    int lent = 0;
+    for (const auto& [name, upstream] : upstreams_) {
+      const auto it = upstream.lent.find(vm);
+      lent += it == upstream.lent.end() ? 0 : it->second.slots;
+    }
+    const int fair =
+        FairLoan(request.queued,
+                 std::max(0.0, static_cast<double>(request.slots) - lent),
+                 queued_, TotalAllowance() + lent);
     int wanted = std::min<int>(
         static_cast<int>(std::min<uint32_t>(request.wanted, 1U << 20)),
-        FairLoan(request));
+        std::max(0, fair - lent));
     std::vector<Upstream*> candidates;
     for (auto& [name, upstream] : upstreams_) {
       if (upstream.home == self()) {
@@ -405,8 +444,9 @@
       if (upstream.lender != home || upstream.borrowed == 0) {
         continue;
       }
-      const int n = queued_ > 0 ? upstream.borrowed
-                                : std::min(upstream.borrowed, upstream.running);
+      const int needed =
+          std::max(queued_ > 0 ? upstream.usable : 0, upstream.running);
+      const int n = std::min(upstream.borrowed, needed);
       if (n > 0) {
         keep.push_back({name, static_cast<uint32_t>(n)});
       }
@@ -425,8 +465,10 @@
     request.slots = static_cast<uint32_t>(TotalAllowance());
     // Loans that are returned must not be used after the message is sent.
     for (auto& [name, upstream] : upstreams_) {
-      if (upstream.lender == home.vm && queued_ == 0) {
-        upstream.borrowed = std::min(upstream.borrowed, upstream.running);
+      if (upstream.lender == home.vm) {
+        const int needed =
+            std::max(queued_ > 0 ? upstream.usable : 0, upstream.running);
+        upstream.borrowed = std::min(upstream.borrowed, needed);
       }
     }
     Home& state = homes_[home.vm];
