--- a/include/radishrail/ownership.h
+++ b/include/radishrail/ownership.h
@@ -2,6 +2,7 @@
 #define RADISHRAIL_OWNERSHIP_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -10,6 +11,7 @@
 #include "absl/time/time.h"
 #include "radishrail/clock.h"
 #include "radishrail/error.h"
+#include "radishrail/job.h"
 #include "radishrail/job_key.h"
 #include "radishrail/membership.h"
 #include "radishrail/peer_message.h"
@@ -25,14 +27,23 @@
   absl::Duration lease_length = absl::Seconds(10);
   absl::Duration renew_interval = absl::Seconds(3);
   absl::Duration takeover_margin = absl::Seconds(2);
+  // Largest difference of two daemons' wall clocks, and how far in the future a
+  // time stamp may be.
   absl::Duration max_clock_skew = absl::Seconds(1);
+  absl::Duration poll_interval = absl::Seconds(2);
+  // For how long the job table remembers a key after its acceptance.
+  absl::Duration resubmission_window = kResubmissionWindow;
 };
 
 enum class OwnershipVerdict {
   kAccept,   // this daemon may accept a job under the key now
   kForward,  // another daemon owns the key
-  kNotRun,   // nobody may accept it now; it certainly was not run here
-  kUnknown,  // a predecessor may have run it
+  // Not accepted now, and no daemon accepted the key before. Only the owner can
+  // know this.
+  kNotRun,
+  // Not accepted now, but an earlier submission may have been. Submitting again
+  // under the same key is safe.
+  kUnknown,
 };
 
 struct OwnershipDecision {
@@ -40,6 +51,9 @@
   MemberRecord target;  // kForward only
   Error error;          // kNotRun and kUnknown only
   absl::Duration retry_after = absl::ZeroDuration();
+  // Monotonic time of the decision. The start-by time of an accepted job counts
+  // from here, so that a pause between decision and acceptance shortens it.
+  absl::Time decided_at;
 };
 
 // Decides which incarnation may accept a key: holds and renews this daemon's
@@ -60,11 +74,17 @@
   void Tick();
   void OnPeerMessage(const MemberRecord& sender, const PeerMessage& message);
 
+  // Returns the remembered keys of some ranges. Without it, this daemon does
+  // not hand ranges over to balance them.
+  using KeySource = std::function<std::vector<RememberedKey>(
+      const std::vector<uint32_t>& ranges)>;
+  void SetKeySource(KeySource source);
+
   // Decides on a key that is not in the job table of this daemon. The caller
   // must accept the job in the same turn of the control thread.
   OwnershipDecision Resolve(const JobKey& key) const;
   bool IsLeaseValid() const;
-  // True if this daemon owns the range and its lease is valid.
+  // True if this daemon may accept keys of the range.
   bool OwnsRange(uint32_t range) const;
   std::vector<uint32_t> OwnedRanges() const;
 
@@ -73,12 +93,14 @@
   void BeginHandover(std::vector<RememberedKey> keys);
   // True when the handover is complete or there is nobody to hand over to.
   bool handover_finished() const;
-  // Keys received from a predecessor since the last call.
+  // Keys received from a predecessor since the last call. Range-bound keys are
+  // not accepted until they were taken.
   std::vector<RememberedKey> TakeReceivedKeys();
 
  private:
   class Impl;
-  std::unique_ptr<Impl> impl_;
+  // Shared with callbacks of the store, which may outlive this object.
+  std::shared_ptr<Impl> impl_;
 };
 
 }  // namespace radishrail
--- /dev/null
+++ b/src/ownership.cc
@@ -0,0 +1,1543 @@
+#include "radishrail/ownership.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <map>
+#include <set>
+#include <string_view>
+#include <utility>
+
+#include "absl/hash/hash.h"
+#include "absl/strings/str_cat.h"
+#include "nlohmann/json.hpp"
+#include "radishrail/random.h"
+
+namespace radishrail {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// A key must be too old to be accepted before the job table may forget it. The
+// acceptance can be 1 s earlier than the stamp and clocks differ by 1 s; the
+// rest is reserve.
+constexpr absl::Duration kStampMargin = absl::Seconds(5);
+constexpr absl::Duration kMaxPlatformBackoff = absl::Seconds(8);
+constexpr absl::Duration kPromiseInterval = absl::Seconds(2);
+constexpr absl::Duration kAcknowledgeInterval = absl::Seconds(4);
+constexpr absl::Duration kProbeTimeout = absl::Milliseconds(500);
+constexpr absl::Duration kRebalanceInterval = absl::Seconds(10);
+constexpr absl::Duration kTransferTimeout = absl::Seconds(10);
+constexpr absl::Duration kWriteRetry = absl::Milliseconds(500);
+constexpr absl::Duration kRetryAfter = absl::Seconds(1);
+// Parts of a handover stay far below the limits of a peer frame, so that other
+// messages are not delayed behind them.
+constexpr size_t kMaxKeysPerPart = 1000;
+constexpr size_t kMaxBytesPerPart = 512 * 1024;
+constexpr size_t kPartsPerTick = 4;
+constexpr uint32_t kRangesPerRebalance = 8;
+constexpr size_t kMaxRememberedAttempts = 32;
+
+enum class LeaseState { kHeld, kReleased, kFenced };
+constexpr std::array<std::string_view, 3> kLeaseStates = {"held", "released",
+                                                          "fenced"};
+
+struct Lease {
+  uint64_t incarnation = 0;
+  uint64_t counter = 0;
+  LeaseState state = LeaseState::kHeld;
+  std::string fenced_by;
+  uint64_t fenced_by_incarnation = 0;
+};
+
+struct Range {
+  std::string vm;  // empty: no owner
+  uint64_t incarnation = 0;
+  int64_t epoch = 0;
+  int64_t takeover_ms = 0;  // wall time; 0: never taken over
+};
+using Ranges = std::array<Range, kRangesPerFailureDomain>;
+
+std::string EncodeLease(const Lease& lease) {
+  Json row = {{"incarnation", lease.incarnation},
+              {"counter", lease.counter},
+              {"state", kLeaseStates[static_cast<size_t>(lease.state)]}};
+  if (lease.state == LeaseState::kFenced) {
+    row["by"] = lease.fenced_by;
+    row["by_incarnation"] = lease.fenced_by_incarnation;
+  }
+  return row.dump();
+}
+
+std::optional<Lease> DecodeLease(const std::string& value) {
+  const Json row = Json::parse(value, nullptr, false);
+  if (!row.is_object()) {
+    return std::nullopt;
+  }
+  // The library reports fields of the wrong type by exceptions.
+  try {
+    Lease lease;
+    lease.incarnation = row.at("incarnation").get<uint64_t>();
+    lease.counter = row.at("counter").get<uint64_t>();
+    const auto state = row.at("state").get<std::string>();
+    const auto* it = std::find(kLeaseStates.begin(), kLeaseStates.end(), state);
+    if (it == kLeaseStates.end()) {
+      return std::nullopt;
+    }
+    lease.state = static_cast<LeaseState>(it - kLeaseStates.begin());
+    lease.fenced_by = row.value("by", "");
+    lease.fenced_by_incarnation = row.value("by_incarnation", uint64_t{0});
+    return lease;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+// One array of [vm, incarnation, epoch, takeover ms] for each range: all
+// daemons of the failure domain poll this row, so it is kept short.
+std::string EncodeRanges(const Ranges& ranges) {
+  Json row = Json::array();
+  for (const auto& it : ranges) {
+    row.push_back({it.vm, it.incarnation, it.epoch, it.takeover_ms});
+  }
+  return row.dump();
+}
+
+std::optional<Ranges> DecodeRanges(const Row& row) {
+  Ranges ranges;
+  if (row.version == 0) {
+    return ranges;
+  }
+  const Json value = Json::parse(row.value, nullptr, false);
+  if (!value.is_array() || value.size() != ranges.size()) {
+    return std::nullopt;
+  }
+  try {
+    for (size_t i = 0; i < ranges.size(); ++i) {
+      ranges[i] = {
+          value[i].at(0).get<std::string>(), value[i].at(1).get<uint64_t>(),
+          value[i].at(2).get<int64_t>(), value[i].at(3).get<int64_t>()};
+    }
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+  return ranges;
+}
+
+// Peers whose promise is needed, by vm and incarnation.
+using PeerId = std::pair<std::string, uint64_t>;
+
+struct AcknowledgedPeer {
+  std::string address;
+  absl::Time promise_until = absl::InfinitePast();
+};
+
+struct Promise {
+  uint64_t incarnation = 0;
+  absl::Time until;
+};
+
+// What this daemon knows about the lease row of another daemon.
+struct Watch {
+  int64_t version = -1;  // -1: not read yet; 0: absent
+  Lease lease;
+  absl::Time since;         // unchanged in all reads since
+  absl::Time last_renewal;  // when a change was read; for choosing successors
+  absl::Time probe_sent = absl::InfinitePast();
+  bool probe_refuted = false;  // the owner said that its lease is invalid
+  // A takeover of this owner was sent and may still be committed.
+  bool takeover_in_flight = false;
+  bool takeover_unresolved = false;
+  int64_t takeover_version = -1;
+  uint64_t takeover_incarnation = 0;
+  uint64_t fenced_incarnation = 0;  // fenced by this daemon
+};
+
+// An outgoing transfer of ranges. Its ranges are not accepted for.
+struct Transfer {
+  enum class Phase { kSending, kAwaitingReply, kWriting };
+  MemberRecord target;
+  std::set<uint32_t> ranges;
+  std::vector<RangeHandover> parts;
+  size_t next_part = 0;
+  Phase phase = Phase::kSending;
+  absl::Time deadline;
+  absl::Time next_write = absl::InfinitePast();
+};
+
+// An incoming transfer.
+struct Incoming {
+  uint64_t incarnation = 0;
+  uint64_t id = 0;
+  int64_t next_part = 0;
+  std::vector<RememberedKey> keys;
+};
+
+// The first entry of each part has no key and carries the number of the
+// transfer and of the part, so that the receiver notices a lost part.
+RememberedKey PartHeader(uint64_t transfer, size_t part) {
+  RememberedKey header;
+  header.body_hash = transfer;
+  header.accepted_unix_ms = static_cast<int64_t>(part);
+  return header;
+}
+
+}  // namespace
+
+class OwnershipController::Impl
+    : public std::enable_shared_from_this<OwnershipController::Impl> {
+ public:
+  Impl(const OwnershipSettings& settings,
+       const Clock& clock,
+       Store& store,
+       PeerTransport& transport,
+       const Membership& membership)
+      : settings_(settings),
+        clock_(clock),
+        store_(store),
+        transport_(transport),
+        membership_(membership),
+        random_(absl::HashOf(settings.vm, settings.incarnation)),
+        lease_prefix_("lease/" + settings.failure_domain + "/"),
+        lease_key_(lease_prefix_ + settings.vm),
+        ranges_key_("ranges/" + settings.failure_domain) {}
+
+  void Tick();
+  void OnPeerMessage(const MemberRecord& sender, const PeerMessage& message);
+  OwnershipDecision Resolve(const JobKey& key) const;
+  bool IsLeaseValid() const;
+  bool OwnsRange(uint32_t range) const;
+  std::vector<uint32_t> OwnedRanges() const;
+  void BeginHandover(std::vector<RememberedKey> keys);
+  bool handover_finished() const { return handover_finished_; }
+  std::vector<RememberedKey> TakeReceivedKeys() {
+    return std::exchange(received_keys_, {});
+  }
+  void SetKeySource(KeySource source) { key_source_ = std::move(source); }
+
+ private:
+  absl::Time Now() const { return clock_.Monotonic(); }
+  int64_t WallMs() const { return absl::ToUnixMillis(clock_.Wall()); }
+  // `duration` varied by a quarter, so that daemons do not act in step.
+  absl::Duration Jittered(absl::Duration duration) {
+    return duration * (0.75 + 0.5 * random_.Unit());
+  }
+  // Wraps a member function as a callback that is dropped with this object.
+  template <typename Function>
+  auto Guarded(Function function) {
+    return [weak = weak_from_this(),
+            function = std::move(function)](auto... args) {
+      if (const auto self = weak.lock()) {
+        function(*self, std::move(args)...);
+      }
+    };
+  }
+
+  bool IsMine(const Range& range) const {
+    return range.vm == settings_.vm &&
+           range.incarnation == settings_.incarnation;
+  }
+  bool IsTableLeaseValid() const { return acquired_ && Now() < table_until_; }
+  bool MayWriteRanges() const {
+    return IsTableLeaseValid() && ranges_valid_ && !ranges_write_in_flight_;
+  }
+  absl::Time ValidUntil() const;
+  uint32_t CountRanges(std::string_view vm) const;
+
+  // Reading the table.
+  void Poll();
+  void PollSoon(absl::Duration delay);
+  void OnPollPart(bool ok);
+  void OnLeaseRows(const std::vector<Row>& rows);
+  void OnOwnRow(const Row& row);
+  void OnWatchedRow(const std::string& vm, const Row& row);
+  void OnRangesRow(const Row& row, uint64_t generation);
+  void RestartObservation();
+  void InvalidateRanges();
+  void LoseLease();
+
+  // The own lease.
+  void Acquire();
+  void Renew();
+  void Release();
+  Lease NextLease(LeaseState state);
+  void OnLeaseWritten(TransactionOutcome outcome,
+                      int64_t checked,
+                      absl::Time sent);
+  void WriteRanges(Transaction transaction,
+                   Ranges ranges,
+                   std::function<void(Impl&, TransactionOutcome)> done);
+
+  // Promises and acknowledgements.
+  bool IsGone(const PeerId& peer) const;
+  void DropGonePeers();
+  void RequestPromises();
+  void SendAcknowledgeRequests();
+  void Acknowledge(const MemberRecord& peer, absl::Time promise_until);
+  void On(const MemberRecord& sender, const AcknowledgeRequest& message);
+  void On(const MemberRecord& sender, const AcknowledgeReply& message);
+  void On(const MemberRecord& sender, const PromiseRequest& message);
+  void On(const MemberRecord& sender, const PromiseReply& message);
+  void On(const MemberRecord& sender, const OwnerProbe& message);
+  void On(const MemberRecord& sender, const OwnerProbeReply& message);
+  void On(const MemberRecord& sender, const RangeHandover& message);
+  void On(const MemberRecord& sender, const RangeHandoverReply& message);
+  template <typename Message>
+  void On(const MemberRecord&, const Message&) {}
+
+  // Takeover and claims.
+  void TakeOver();
+  bool MayTakeOver(const std::string& vm, uint64_t incarnation, Watch* watch);
+  bool IsOwnerSilent(const std::string& vm, Watch* watch);
+  void WriteTakeover(const std::string& vm, uint64_t subject, Watch* watch);
+  void OnTakeoverWritten(const std::string& vm, TransactionOutcome outcome);
+  void ClaimRanges();
+
+  // Handover.
+  struct Candidate {
+    MemberRecord member;
+    double fair = 0;
+    uint32_t owned = 0;
+  };
+  std::vector<Candidate> Candidates(double* own_fair) const;
+  void Rebalance();
+  void Drain();
+  void StartTransfer(const MemberRecord& target,
+                     uint32_t count,
+                     const std::vector<RememberedKey>* keys);
+  void ContinueTransfer();
+  void SendParts();
+  void WriteTransfer();
+
+  bool IsQuarantined(const Range& range,
+                     const JobKey& key,
+                     absl::Duration* retry_after) const;
+  void ResolveMinted(const JobKey& key, OwnershipDecision* decision) const;
+  void ResolveOwned(const JobKey& key, OwnershipDecision* decision) const;
+  void ResolveElsewhere(const JobKey& key, OwnershipDecision* decision) const;
+
+  const OwnershipSettings settings_;
+  const Clock& clock_;
+  Store& store_;
+  PeerTransport& transport_;
+  const Membership& membership_;
+  SeededRandom random_;
+  const std::string lease_prefix_;
+  const std::string lease_key_;
+  const std::string ranges_key_;
+  KeySource key_source_;
+
+  // The own lease row. `acquired_`: it is held by this incarnation as far as
+  // known; versions only grow.
+  bool acquired_ = false;
+  bool released_ = false;
+  bool superseded_ = false;  // the vm runs a newer incarnation
+  bool own_row_known_ = false;
+  int64_t lease_version_ = -1;
+  uint64_t counter_ = 0;
+  std::map<uint64_t, absl::Time> attempts_;  // when each counter was sent
+  absl::Time table_until_ = absl::InfinitePast();
+  bool lease_write_in_flight_ = false;
+  absl::Time next_lease_write_ = absl::InfinitePast();
+  absl::Duration lease_backoff_;
+
+  Ranges ranges_;
+  bool ranges_valid_ = false;
+  int64_t ranges_version_ = -1;
+  uint64_t ranges_generation_ = 0;
+  bool ranges_write_in_flight_ = false;
+  absl::Time next_ranges_write_ = absl::InfinitePast();
+
+  int polls_in_flight_ = 0;
+  bool poll_failed_ = false;
+  absl::Time next_poll_ = absl::InfinitePast();
+  absl::Time last_poll_ok_ = absl::InfinitePast();
+  absl::Duration poll_backoff_;
+
+  std::map<std::string, Watch, std::less<>> watches_;
+  std::map<PeerId, AcknowledgedPeer> acknowledged_;
+  std::map<PeerId, absl::Time> candidate_promises_;
+  std::map<uint64_t, absl::Time> promise_requests_;
+  uint64_t next_request_ = 1;
+  absl::Time next_promise_request_ = absl::InfinitePast();
+  std::map<std::string, Promise, std::less<>> promises_;  // given to owners
+  std::map<std::string, uint64_t, std::less<>> acknowledged_by_;
+  absl::Time next_acknowledge_ = absl::InfinitePast();
+
+  std::optional<Transfer> transfer_;
+  uint64_t next_transfer_ = 1;
+  // Successors that did not reply in time. A late reply could be taken for that
+  // of a later transfer, so they get none.
+  std::set<PeerId> unusable_;
+  std::map<std::string, Incoming, std::less<>> incoming_;
+  std::vector<RememberedKey> received_keys_;
+  absl::Time next_rebalance_ = absl::InfinitePast();
+  bool draining_ = false;
+  bool handover_finished_ = false;
+  std::vector<RememberedKey> drained_keys_;
+};
+
+void OwnershipController::Impl::Tick() {
+  superseded_ = superseded_ ||
+                membership_.IsProvenGone(settings_.vm, settings_.incarnation);
+  if (superseded_) {
+    handover_finished_ = handover_finished_ || draining_;
+    return;
+  }
+  DropGonePeers();
+  Poll();
+  Acquire();
+  Renew();
+  RequestPromises();
+  SendAcknowledgeRequests();
+  ContinueTransfer();
+  if (draining_) {
+    Drain();
+    return;
+  }
+  TakeOver();
+  ClaimRanges();
+  Rebalance();
+}
+
+// --- Reading the table ---
+
+void OwnershipController::Impl::Poll() {
+  if (polls_in_flight_ > 0 || Now() < next_poll_) {
+    return;
+  }
+  polls_in_flight_ = 2;
+  poll_failed_ = false;
+  store_.List(lease_prefix_,
+              Guarded([](Impl& self, std::optional<std::vector<Row>> rows,
+                         const Error&) {
+                if (rows.has_value()) {
+                  self.OnLeaseRows(*rows);
+                }
+                self.OnPollPart(rows.has_value());
+              }));
+  store_.Read(ranges_key_,
+              Guarded([generation = ranges_generation_](
+                          Impl& self, std::optional<Row> row, const Error&) {
+                if (row.has_value()) {
+                  self.OnRangesRow(*row, generation);
+                }
+                self.OnPollPart(row.has_value());
+              }));
+}
+
+void OwnershipController::Impl::PollSoon(absl::Duration delay) {
+  next_poll_ = std::min(next_poll_, Now() + Jittered(delay));
+}
+
+void OwnershipController::Impl::OnPollPart(bool ok) {
+  poll_failed_ = poll_failed_ || !ok;
+  if (--polls_in_flight_ > 0) {
+    return;
+  }
+  if (poll_failed_) {
+    // The observation must be gapless: after an outage the owners must get the
+    // chance to renew before anybody takes over.
+    RestartObservation();
+    poll_backoff_ = std::clamp(poll_backoff_ * 2, settings_.poll_interval,
+                               kMaxPlatformBackoff);
+  } else {
+    if (Now() - last_poll_ok_ > settings_.lease_length) {
+      RestartObservation();
+    }
+    last_poll_ok_ = Now();
+    poll_backoff_ = settings_.poll_interval;
+  }
+  next_poll_ = Now() + Jittered(poll_backoff_);
+}
+
+void OwnershipController::Impl::RestartObservation() {
+  for (auto& [vm, watch] : watches_) {
+    watch.since = Now();
+  }
+}
+
+void OwnershipController::Impl::OnLeaseRows(const std::vector<Row>& rows) {
+  bool has_own = false;
+  for (const auto& row : rows) {
+    const std::string vm = row.key.substr(lease_prefix_.size());
+    if (vm == settings_.vm) {
+      has_own = true;
+      OnOwnRow(row);
+    } else {
+      OnWatchedRow(vm, row);
+    }
+  }
+  if (!has_own) {
+    OnOwnRow({lease_key_, "", 0});
+  }
+  // An owner can lack a lease row only until its first write; it is watched
+  // like the others.
+  for (const auto& it : ranges_) {
+    if (!it.vm.empty() && it.vm != settings_.vm && !watches_.contains(it.vm)) {
+      OnWatchedRow(it.vm, {lease_prefix_ + it.vm, "", 0});
+    }
+  }
+}
+
+void OwnershipController::Impl::OnOwnRow(const Row& row) {
+  if (row.version < lease_version_ || released_) {
+    return;  // read before the latest write
+  }
+  if (row.version == lease_version_ && own_row_known_) {
+    return;
+  }
+  Lease lease;
+  if (row.version > 0) {
+    const std::optional<Lease> decoded = DecodeLease(row.value);
+    if (!decoded.has_value()) {
+      return;
+    }
+    lease = *decoded;
+  }
+  own_row_known_ = true;
+  lease_version_ = row.version;
+  if (lease.incarnation > settings_.incarnation) {
+    superseded_ = true;
+    return;
+  }
+  const bool mine =
+      row.version > 0 && lease.incarnation == settings_.incarnation;
+  if (mine && lease.state == LeaseState::kReleased) {
+    released_ = true;
+    acquired_ = false;
+    return;
+  }
+  if (!mine || lease.state == LeaseState::kFenced) {
+    if (acquired_) {
+      LoseLease();
+    }
+    return;
+  }
+  // A write whose response was lost. It also may have changed the ranges.
+  const auto attempt = attempts_.find(lease.counter);
+  if (attempt != attempts_.end()) {
+    table_until_ =
+        std::max(table_until_, attempt->second + settings_.lease_length);
+  }
+  if (!acquired_) {
+    acquired_ = true;
+    InvalidateRanges();
+  }
+}
+
+void OwnershipController::Impl::OnWatchedRow(const std::string& vm,
+                                             const Row& row) {
+  Watch& watch = watches_[vm];
+  if (row.version <= watch.version) {
+    return;
+  }
+  std::optional<Lease> lease = Lease{};
+  if (row.version > 0) {
+    lease = DecodeLease(row.value);
+    if (!lease.has_value()) {
+      return;
+    }
+  }
+  watch.version = row.version;
+  watch.lease = *lease;
+  watch.since = Now();
+  watch.last_renewal = Now();
+  watch.probe_sent = absl::InfinitePast();
+  watch.probe_refuted = false;
+  if ((watch.takeover_in_flight || watch.takeover_unresolved) &&
+      row.version > watch.takeover_version) {
+    watch.takeover_unresolved = false;
+    watch.takeover_in_flight = false;
+    if (lease->state == LeaseState::kFenced &&
+        lease->fenced_by == settings_.vm &&
+        lease->fenced_by_incarnation == settings_.incarnation) {
+      watch.fenced_incarnation = lease->incarnation;
+    }
+  }
+  // The owner acquired its lease anew and gave up what was taken over.
+  if (lease->state == LeaseState::kHeld && !watch.takeover_in_flight) {
+    watch.fenced_incarnation = 0;
+  }
+}
+
+void OwnershipController::Impl::OnRangesRow(const Row& row,
+                                            uint64_t generation) {
+  if (generation != ranges_generation_ || row.version < ranges_version_ ||
+      (ranges_valid_ && row.version == ranges_version_)) {
+    return;
+  }
+  std::optional<Ranges> ranges = DecodeRanges(row);
+  if (ranges.has_value()) {
+    ranges_ = *std::move(ranges);
+    ranges_version_ = row.version;
+    ranges_valid_ = true;
+  }
+}
+
+void OwnershipController::Impl::InvalidateRanges() {
+  ranges_valid_ = false;
+  ++ranges_generation_;
+  PollSoon(absl::ZeroDuration());
+}
+
+void OwnershipController::Impl::LoseLease() {
+  acquired_ = false;
+  table_until_ = absl::InfinitePast();
+  transfer_.reset();
+  InvalidateRanges();
+}
+
+// --- The own lease ---
+
+Lease OwnershipController::Impl::NextLease(LeaseState state) {
+  Lease lease;
+  lease.incarnation = settings_.incarnation;
+  lease.counter = ++counter_;
+  lease.state = state;
+  attempts_[lease.counter] = Now();
+  if (attempts_.size() > kMaxRememberedAttempts) {
+    attempts_.erase(attempts_.begin());
+  }
+  return lease;
+}
+
+// One transaction takes the lease and the ranges of an earlier incarnation of
+// this vm, or of this incarnation before it was fenced. Since both rows are
+// checked, no takeover can be in between. The ranges go into quarantine.
+void OwnershipController::Impl::Acquire() {
+  if (acquired_ || released_ || draining_ || lease_write_in_flight_ ||
+      ranges_write_in_flight_ || !own_row_known_ || !ranges_valid_ ||
+      Now() < next_lease_write_) {
+    return;
+  }
+  const absl::Time sent = Now();
+  Transaction transaction;
+  transaction.checks = {{lease_key_, lease_version_},
+                        {ranges_key_, ranges_version_}};
+  transaction.writes = {
+      {lease_key_, EncodeLease(NextLease(LeaseState::kHeld))}};
+  Ranges ranges = ranges_;
+  bool changed = false;
+  for (auto& it : ranges) {
+    if (it.vm == settings_.vm) {
+      it.incarnation = settings_.incarnation;
+      ++it.epoch;
+      it.takeover_ms = std::max(it.takeover_ms, WallMs());
+      changed = true;
+    }
+  }
+  lease_write_in_flight_ = true;
+  const int64_t checked = lease_version_;
+  const auto done = [checked, sent](Impl& self, TransactionOutcome outcome) {
+    self.OnLeaseWritten(outcome, checked, sent);
+  };
+  if (changed) {
+    transaction.writes.push_back({ranges_key_, EncodeRanges(ranges)});
+    WriteRanges(std::move(transaction), std::move(ranges), done);
+    return;
+  }
+  store_.Transact(
+      std::move(transaction),
+      Guarded([done](Impl& self, TransactionOutcome outcome, const std::string&,
+                     const Error&) { done(self, outcome); }));
+}
+
+void OwnershipController::Impl::Renew() {
+  if (!acquired_ || released_ || lease_write_in_flight_ ||
+      Now() < next_lease_write_) {
+    return;
+  }
+  lease_write_in_flight_ = true;
+  const absl::Time sent = Now();
+  const int64_t checked = lease_version_;
+  store_.Transact(
+      {{{lease_key_, checked}},
+       {{lease_key_, EncodeLease(NextLease(LeaseState::kHeld))}}},
+      Guarded([checked, sent](Impl& self, TransactionOutcome outcome,
+                              const std::string&, const Error&) {
+        self.OnLeaseWritten(outcome, checked, sent);
+      }));
+}
+
+void OwnershipController::Impl::OnLeaseWritten(TransactionOutcome outcome,
+                                               int64_t checked,
+                                               absl::Time sent) {
+  lease_write_in_flight_ = false;
+  if (outcome != TransactionOutcome::kCommitted) {
+    if (outcome == TransactionOutcome::kConflict) {
+      PollSoon(absl::ZeroDuration());
+      next_lease_write_ = Now() + Jittered(kWriteRetry);
+      return;
+    }
+    lease_backoff_ = std::clamp(lease_backoff_ * 2, settings_.renew_interval,
+                                kMaxPlatformBackoff);
+    next_lease_write_ = Now() + Jittered(lease_backoff_);
+    return;
+  }
+  lease_backoff_ = absl::ZeroDuration();
+  next_lease_write_ = std::max(
+      Now(), sent + settings_.renew_interval * (0.9 + 0.2 * random_.Unit()));
+  // A read that saw this write, or a later one, has been processed already.
+  if (lease_version_ != checked) {
+    return;
+  }
+  // The response does not carry the new version. A guess that is too low only
+  // makes the next write conflict, after which the row is read.
+  lease_version_ = checked + 1;
+  acquired_ = true;
+  table_until_ = std::max(table_until_, sent + settings_.lease_length);
+}
+
+void OwnershipController::Impl::Release() {
+  if (lease_write_in_flight_ || Now() < next_lease_write_) {
+    return;
+  }
+  lease_write_in_flight_ = true;
+  const int64_t checked = lease_version_;
+  store_.Transact(
+      {{{lease_key_, checked}},
+       {{lease_key_, EncodeLease(NextLease(LeaseState::kReleased))}}},
+      Guarded([](Impl& self, TransactionOutcome outcome, const std::string&,
+                 const Error&) {
+        self.lease_write_in_flight_ = false;
+        self.next_lease_write_ = self.Now() + self.Jittered(kWriteRetry);
+        if (outcome == TransactionOutcome::kCommitted) {
+          self.released_ = true;
+          self.acquired_ = false;
+        } else {
+          self.PollSoon(absl::ZeroDuration());
+        }
+      }));
+}
+
+// Sends a transaction that replaces the ranges row by `ranges`. Only one is in
+// flight at a time.
+void OwnershipController::Impl::WriteRanges(
+    Transaction transaction,
+    Ranges ranges,
+    std::function<void(Impl&, TransactionOutcome)> done) {
+  ranges_write_in_flight_ = true;
+  store_.Transact(
+      std::move(transaction),
+      Guarded([checked = ranges_version_, generation = ranges_generation_,
+               ranges = std::move(ranges),
+               done = std::move(done)](Impl& self, TransactionOutcome outcome,
+                                       const std::string&, const Error&) {
+        self.ranges_write_in_flight_ = false;
+        self.next_ranges_write_ = self.Now() + self.Jittered(kWriteRetry);
+        done(self, outcome);
+        if (outcome == TransactionOutcome::kCommitted &&
+            self.ranges_version_ == checked &&
+            self.ranges_generation_ == generation) {
+          self.ranges_ = ranges;
+          self.ranges_version_ = checked + 1;
+        } else {
+          self.PollSoon(absl::ZeroDuration());
+        }
+      }));
+}
+
+// --- Validity ---
+
+absl::Time OwnershipController::Impl::ValidUntil() const {
+  if (!acquired_ || released_ || superseded_) {
+    return absl::InfinitePast();
+  }
+  absl::Time extended = absl::InfiniteFuture();
+  for (const auto& [id, peer] : acknowledged_) {
+    extended = std::min(extended, peer.promise_until);
+  }
+  return std::max(table_until_, extended);
+}
+
+bool OwnershipController::Impl::IsLeaseValid() const {
+  return Now() < ValidUntil();
+}
+
+bool OwnershipController::Impl::OwnsRange(uint32_t range) const {
+  return ranges_valid_ && range < ranges_.size() && IsMine(ranges_[range]) &&
+         !draining_ && received_keys_.empty() &&
+         !(transfer_.has_value() && transfer_->ranges.contains(range)) &&
+         IsLeaseValid();
+}
+
+std::vector<uint32_t> OwnershipController::Impl::OwnedRanges() const {
+  std::vector<uint32_t> owned;
+  for (uint32_t i = 0; i < kRangesPerFailureDomain; ++i) {
+    if (OwnsRange(i)) {
+      owned.push_back(i);
+    }
+  }
+  return owned;
+}
+
+uint32_t OwnershipController::Impl::CountRanges(std::string_view vm) const {
+  return static_cast<uint32_t>(
+      std::count_if(ranges_.begin(), ranges_.end(),
+                    [&](const auto& it) { return it.vm == vm; }));
+}
+
+// --- Promises and acknowledgements ---
+
+bool OwnershipController::Impl::IsGone(const PeerId& peer) const {
+  return membership_.IsProvenGone(peer.first, peer.second) ||
+         membership_.IsRemovedFromVmList(peer.first);
+}
+
+// A peer that is gone is no longer needed, but only if it cannot have taken
+// over before it went: its promise, or the lease in the table, must still be
+// valid. Otherwise its promise stays missing until the lease is renewed in the
+// table.
+void OwnershipController::Impl::DropGonePeers() {
+  const absl::Time now = Now();
+  std::erase_if(acknowledged_, [&](const auto& it) {
+    return (IsTableLeaseValid() || now < it.second.promise_until) &&
+           IsGone(it.first);
+  });
+  std::erase_if(candidate_promises_,
+                [&](const auto& it) { return it.second <= now; });
+  std::erase_if(promise_requests_, [&](const auto& it) {
+    return it.second + settings_.lease_length <= now;
+  });
+}
+
+// Starts when a renewal is overdue, before the lease lapses.
+void OwnershipController::Impl::RequestPromises() {
+  const absl::Time now = Now();
+  if (!acquired_ || released_ || now < next_promise_request_ ||
+      now < table_until_ - settings_.lease_length / 2) {
+    return;
+  }
+  next_promise_request_ = now + Jittered(kPromiseInterval);
+  const uint64_t request = next_request_++;
+  promise_requests_[request] = now;
+  for (const auto& [id, peer] : acknowledged_) {
+    transport_.Send(peer.address,
+                    PromiseRequest{settings_.incarnation, request});
+  }
+}
+
+void OwnershipController::Impl::SendAcknowledgeRequests() {
+  if (Now() < next_acknowledge_) {
+    return;
+  }
+  next_acknowledge_ = Now() + Jittered(kAcknowledgeInterval);
+  for (const auto& it : membership_.ReachableIn(settings_.failure_domain)) {
+    const auto known = acknowledged_by_.find(it.vm);
+    if (known == acknowledged_by_.end() || known->second != it.incarnation) {
+      transport_.Send(it.peer_address, AcknowledgeRequest{settings_.incarnation,
+                                                          it.incarnation});
+    }
+  }
+}
+
+void OwnershipController::Impl::Acknowledge(const MemberRecord& peer,
+                                            absl::Time promise_until) {
+  // The peer is counted before it can know, so that it never takes over while
+  // its promise is not needed.
+  auto& entry = acknowledged_[{peer.vm, peer.incarnation}];
+  entry.address = peer.peer_address;
+  entry.promise_until = std::max(entry.promise_until, promise_until);
+  transport_.Send(peer.peer_address,
+                  AcknowledgeReply{peer.incarnation, settings_.incarnation});
+}
+
+void OwnershipController::Impl::On(const MemberRecord& sender,
+                                   const AcknowledgeRequest& message) {
+  const PeerId id{sender.vm, sender.incarnation};
+  if (message.owner_incarnation != settings_.incarnation ||
+      message.incarnation != sender.incarnation ||
+      membership_.IsProvenGone(sender.vm, sender.incarnation)) {
+    return;
+  }
+  if (!acquired_ || IsTableLeaseValid() || acknowledged_.contains(id)) {
+    Acknowledge(sender, absl::InfinitePast());
+    return;
+  }
+  // While the lease is extended by peers, a new one must promise first;
+  // counting it at once would end the lease.
+  const auto promise = candidate_promises_.find(id);
+  if (promise != candidate_promises_.end() && Now() < promise->second) {
+    Acknowledge(sender, promise->second);
+    return;
+  }
+  const uint64_t request = next_request_++;
+  promise_requests_[request] = Now();
+  transport_.Send(sender.peer_address,
+                  PromiseRequest{settings_.incarnation, request});
+}
+
+void OwnershipController::Impl::On(const MemberRecord& sender,
+                                   const AcknowledgeReply& message) {
+  if (message.incarnation == settings_.incarnation &&
+      message.owner_incarnation == sender.incarnation) {
+    acknowledged_by_[sender.vm] = sender.incarnation;
+  }
+}
+
+void OwnershipController::Impl::On(const MemberRecord& sender,
+                                   const PromiseRequest& message) {
+  const auto it = watches_.find(sender.vm);
+  // A takeover whose outcome is open may still be committed, so no promise can
+  // be given.
+  const bool taken_over =
+      it != watches_.end() &&
+      (it->second.takeover_in_flight || it->second.takeover_unresolved ||
+       it->second.fenced_incarnation >= message.owner_incarnation);
+  const bool granted = !taken_over &&
+                       message.owner_incarnation == sender.incarnation &&
+                       !membership_.IsProvenGone(sender.vm, sender.incarnation);
+  if (granted) {
+    promises_[sender.vm] = {sender.incarnation, Now() + settings_.lease_length +
+                                                    settings_.takeover_margin};
+  }
+  transport_.Send(sender.peer_address, PromiseReply{message.owner_incarnation,
+                                                    message.request, granted});
+}
+
+void OwnershipController::Impl::On(const MemberRecord& sender,
+                                   const PromiseReply& message) {
+  const auto request = promise_requests_.find(message.request);
+  if (!message.granted || request == promise_requests_.end() ||
+      message.owner_incarnation != settings_.incarnation) {
+    return;
+  }
+  const PeerId id{sender.vm, sender.incarnation};
+  const absl::Time until = request->second + settings_.lease_length;
+  const auto it = acknowledged_.find(id);
+  if (it != acknowledged_.end()) {
+    it->second.promise_until = std::max(it->second.promise_until, until);
+  } else {
+    candidate_promises_[id] = until;
+  }
+}
+
+void OwnershipController::Impl::On(const MemberRecord& sender,
+                                   const OwnerProbe& message) {
+  transport_.Send(
+      sender.peer_address,
+      OwnerProbeReply{settings_.incarnation,
+                      message.owner_incarnation == settings_.incarnation &&
+                          IsLeaseValid()});
+}
+
+void OwnershipController::Impl::On(const MemberRecord& sender,
+                                   const OwnerProbeReply& message) {
+  const auto it = watches_.find(sender.vm);
+  if (it == watches_.end() ||
+      message.owner_incarnation != it->second.lease.incarnation) {
+    return;
+  }
+  if (message.lease_valid) {
+    it->second.since = Now();
+    it->second.probe_sent = absl::InfinitePast();
+  } else {
+    it->second.probe_refuted = true;
+  }
+}
+
+// --- Takeover ---
+
+void OwnershipController::Impl::TakeOver() {
+  if (!MayWriteRanges() || Now() < next_ranges_write_ ||
+      Now() - last_poll_ok_ > settings_.lease_length) {
+    return;
+  }
+  std::map<std::string, uint64_t> owners;
+  for (const auto& it : ranges_) {
+    if (!it.vm.empty() && it.vm != settings_.vm) {
+      owners[it.vm] = std::max(owners[it.vm], it.incarnation);
+    }
+  }
+  for (const auto& [vm, incarnation] : owners) {
+    const auto it = watches_.find(vm);
+    if (it == watches_.end() || it->second.takeover_in_flight) {
+      continue;
+    }
+    const uint64_t subject =
+        std::max(incarnation, it->second.lease.incarnation);
+    if (MayTakeOver(vm, subject, &it->second)) {
+      WriteTakeover(vm, subject, &it->second);
+      return;
+    }
+  }
+}
+
+bool OwnershipController::Impl::MayTakeOver(const std::string& vm,
+                                            uint64_t incarnation,
+                                            Watch* watch) {
+  if (watch->lease.incarnation == incarnation &&
+      watch->lease.state == LeaseState::kReleased) {
+    return true;
+  }
+  const absl::Time now = Now();
+  if (now - watch->since < settings_.lease_length + settings_.takeover_margin) {
+    return false;
+  }
+  const auto promise = promises_.find(vm);
+  if (promise != promises_.end() &&
+      promise->second.incarnation == incarnation &&
+      now < promise->second.until) {
+    return false;
+  }
+  const auto acknowledged = acknowledged_by_.find(vm);
+  const bool is_acknowledged = acknowledged != acknowledged_by_.end() &&
+                               acknowledged->second == incarnation;
+  return (is_acknowledged || IsGone({vm, incarnation})) &&
+         IsOwnerSilent(vm, watch);
+}
+
+// Asks the owner and waits for its reply. Only avoids needless takeovers; the
+// other conditions suffice for safety.
+bool OwnershipController::Impl::IsOwnerSilent(const std::string& vm,
+                                              Watch* watch) {
+  const auto member = membership_.Find(vm);
+  if (!member.has_value() || watch->probe_refuted) {
+    return true;
+  }
+  if (watch->probe_sent == absl::InfinitePast()) {
+    watch->probe_sent = Now();
+    return !transport_.Send(member->peer_address,
+                            OwnerProbe{watch->lease.incarnation});
+  }
+  return Now() - watch->probe_sent >= kProbeTimeout;
+}
+
+void OwnershipController::Impl::WriteTakeover(const std::string& vm,
+                                              uint64_t subject,
+                                              Watch* watch) {
+  Transaction transaction;
+  transaction.checks = {{lease_prefix_ + vm, watch->version},
+                        {ranges_key_, ranges_version_}};
+  if (watch->lease.state != LeaseState::kReleased) {
+    Lease fenced = watch->lease;
+    fenced.incarnation = subject;
+    fenced.state = LeaseState::kFenced;
+    fenced.fenced_by = settings_.vm;
+    fenced.fenced_by_incarnation = settings_.incarnation;
+    transaction.writes.push_back({lease_prefix_ + vm, EncodeLease(fenced)});
+  }
+  Ranges ranges = ranges_;
+  for (auto& it : ranges) {
+    if (it.vm == vm) {
+      it = {settings_.vm, settings_.incarnation, it.epoch + 1,
+            std::max(it.takeover_ms, WallMs())};
+    }
+  }
+  transaction.writes.push_back({ranges_key_, EncodeRanges(ranges)});
+  watch->takeover_in_flight = true;
+  watch->takeover_version = watch->version;
+  watch->takeover_incarnation = subject;
+  WriteRanges(std::move(transaction), std::move(ranges),
+              [vm](Impl& self, TransactionOutcome outcome) {
+                self.OnTakeoverWritten(vm, outcome);
+              });
+}
+
+void OwnershipController::Impl::OnTakeoverWritten(const std::string& vm,
+                                                  TransactionOutcome outcome) {
+  Watch& watch = watches_[vm];
+  if (!watch.takeover_in_flight) {
+    return;  // a read has shown the outcome
+  }
+  watch.takeover_in_flight = false;
+  if (outcome == TransactionOutcome::kCommitted) {
+    watch.takeover_unresolved = false;
+    watch.fenced_incarnation = watch.takeover_incarnation;
+  } else if (outcome == TransactionOutcome::kUnknown) {
+    watch.takeover_unresolved = true;
+  }
+}
+
+void OwnershipController::Impl::ClaimRanges() {
+  if (!MayWriteRanges() || Now() < next_ranges_write_) {
+    return;
+  }
+  Ranges ranges = ranges_;
+  bool changed = false;
+  for (auto& it : ranges) {
+    const bool of_predecessor =
+        it.vm == settings_.vm && it.incarnation < settings_.incarnation;
+    if (it.vm.empty() || of_predecessor) {
+      it.vm = settings_.vm;
+      it.incarnation = settings_.incarnation;
+      ++it.epoch;
+      if (of_predecessor) {
+        it.takeover_ms = std::max(it.takeover_ms, WallMs());
+      }
+      changed = true;
+    }
+  }
+  if (changed) {
+    Transaction transaction;
+    transaction.checks = {{ranges_key_, ranges_version_}};
+    transaction.writes = {{ranges_key_, EncodeRanges(ranges)}};
+    WriteRanges(std::move(transaction), std::move(ranges),
+                [](Impl&, TransactionOutcome) {});
+  }
+}
+
+// --- Handover ---
+
+void OwnershipController::Impl::BeginHandover(std::vector<RememberedKey> keys) {
+  if (draining_) {
+    return;
+  }
+  draining_ = true;
+  drained_keys_ = std::move(keys);
+  // Keys that the job table did not take yet are not among `keys`, though this
+  // daemon may be named as owner of their ranges.
+  drained_keys_.insert(drained_keys_.end(), received_keys_.begin(),
+                       received_keys_.end());
+}
+
+// Members that can take ranges: ready, with a lease that was renewed lately.
+std::vector<OwnershipController::Impl::Candidate>
+OwnershipController::Impl::Candidates(double* own_fair) const {
+  std::vector<Candidate> candidates;
+  double weights = draining_ ? 0 : membership_.self().weight;
+  for (const auto& it : membership_.ReachableIn(settings_.failure_domain)) {
+    const auto watch = watches_.find(it.vm);
+    if (it.state == MemberState::kReady && watch != watches_.end() &&
+        watch->second.lease.state == LeaseState::kHeld &&
+        watch->second.lease.incarnation == it.incarnation &&
+        Now() - watch->second.last_renewal < settings_.lease_length &&
+        !unusable_.contains({it.vm, it.incarnation})) {
+      candidates.push_back({it, 0, CountRanges(it.vm)});
+      weights += it.weight;
+    }
+  }
+  for (auto& it : candidates) {
+    it.fair = kRangesPerFailureDomain * it.member.weight / weights;
+  }
+  *own_fair = kRangesPerFailureDomain * membership_.self().weight / weights;
+  std::sort(candidates.begin(), candidates.end(),
+            [](const auto& a, const auto& b) {
+              return a.fair - a.owned > b.fair - b.owned;
+            });
+  return candidates;
+}
+
+void OwnershipController::Impl::Rebalance() {
+  if (Now() < next_rebalance_ || !key_source_ || transfer_.has_value() ||
+      !MayWriteRanges() || !received_keys_.empty()) {
+    return;
+  }
+  next_rebalance_ = Now() + Jittered(kRebalanceInterval);
+  double own_fair = 0;
+  const std::vector<Candidate> candidates = Candidates(&own_fair);
+  const auto owned = static_cast<double>(CountRanges(settings_.vm));
+  if (candidates.empty()) {
+    return;
+  }
+  // Both sides must be off by a whole range, so that ranges do not oscillate.
+  const double excess = std::floor(owned - own_fair);
+  const double deficit = std::floor(candidates[0].fair - candidates[0].owned);
+  const double n =
+      std::min({excess, deficit, static_cast<double>(kRangesPerRebalance)});
+  if (n >= 1) {
+    StartTransfer(candidates[0].member, static_cast<uint32_t>(n), nullptr);
+  }
+}
+
+void OwnershipController::Impl::Drain() {
+  if (handover_finished_ || transfer_.has_value()) {
+    return;
+  }
+  if (released_ || !acquired_) {
+    handover_finished_ = !lease_write_in_flight_;
+    return;
+  }
+  const uint32_t owned = CountRanges(settings_.vm);
+  double own_fair = 0;
+  const std::vector<Candidate> candidates = Candidates(&own_fair);
+  if (!ranges_valid_ || (owned > 0 && !candidates.empty())) {
+    if (MayWriteRanges()) {
+      const double deficit =
+          std::ceil(candidates[0].fair - candidates[0].owned);
+      StartTransfer(candidates[0].member,
+                    static_cast<uint32_t>(
+                        std::clamp(deficit, 1.0, static_cast<double>(owned))),
+                    &drained_keys_);
+    }
+    return;
+  }
+  Release();
+}
+
+void OwnershipController::Impl::StartTransfer(
+    const MemberRecord& target,
+    uint32_t count,
+    const std::vector<RememberedKey>* keys) {
+  Transfer transfer;
+  transfer.target = target;
+  transfer.deadline = Now() + kTransferTimeout;
+  for (uint32_t i = 0; i < ranges_.size() && transfer.ranges.size() < count;
+       ++i) {
+    if (IsMine(ranges_[i])) {
+      transfer.ranges.insert(i);
+    }
+  }
+  const std::vector<uint32_t> ranges(transfer.ranges.begin(),
+                                     transfer.ranges.end());
+  const std::vector<RememberedKey> from_source =
+      keys == nullptr ? key_source_(ranges) : std::vector<RememberedKey>{};
+  const uint64_t id = next_transfer_++;
+  RangeHandover part;
+  size_t bytes = 0;
+  const auto finish_part = [&](bool last) {
+    part.incarnation = settings_.incarnation;
+    part.ranges = ranges;
+    part.last = last;
+    part.keys.insert(part.keys.begin(), PartHeader(id, transfer.parts.size()));
+    transfer.parts.push_back(std::exchange(part, {}));
+    bytes = 0;
+  };
+  for (const auto& it : keys == nullptr ? from_source : *keys) {
+    if (it.key.starts_with("k1.") ||
+        !transfer.ranges.contains(KeyRange(it.key))) {
+      continue;
+    }
+    bytes += it.key.size() + it.environment.size() + it.answer_json.size();
+    part.keys.push_back(it);
+    if (part.keys.size() >= kMaxKeysPerPart || bytes >= kMaxBytesPerPart) {
+      finish_part(false);
+    }
+  }
+  finish_part(true);
+  transfer_ = std::move(transfer);
+}
+
+void OwnershipController::Impl::ContinueTransfer() {
+  if (!transfer_.has_value()) {
+    return;
+  }
+  if (transfer_->phase == Transfer::Phase::kWriting) {
+    WriteTransfer();
+    return;
+  }
+  if (transfer_->phase == Transfer::Phase::kSending) {
+    SendParts();
+  }
+  if (Now() >= transfer_->deadline) {
+    unusable_.insert({transfer_->target.vm, transfer_->target.incarnation});
+    transfer_.reset();
+  }
+}
+
+void OwnershipController::Impl::SendParts() {
+  for (size_t i = 0;
+       i < kPartsPerTick && transfer_->next_part < transfer_->parts.size();
+       ++i) {
+    if (!transport_.Send(transfer_->target.peer_address,
+                         transfer_->parts[transfer_->next_part])) {
+      return;  // the same part is sent in a later turn
+    }
+    ++transfer_->next_part;
+  }
+  if (transfer_->next_part == transfer_->parts.size()) {
+    transfer_->phase = Transfer::Phase::kAwaitingReply;
+    transfer_->parts.clear();
+  }
+}
+
+// The successor has all keys; the ranges row makes it the owner. Once this was
+// sent, the transfer is not given up until a read shows the outcome.
+void OwnershipController::Impl::WriteTransfer() {
+  if (!MayWriteRanges() || Now() < transfer_->next_write) {
+    return;
+  }
+  Ranges ranges = ranges_;
+  bool changed = false;
+  for (const uint32_t i : transfer_->ranges) {
+    if (IsMine(ranges[i])) {
+      ranges[i].vm = transfer_->target.vm;
+      ranges[i].incarnation = transfer_->target.incarnation;
+      ++ranges[i].epoch;
+      changed = true;
+    }
+  }
+  if (!changed) {
+    transfer_.reset();
+    return;
+  }
+  transfer_->next_write = Now() + kWriteRetry;
+  Transaction transaction;
+  transaction.checks = {{ranges_key_, ranges_version_}};
+  transaction.writes = {{ranges_key_, EncodeRanges(ranges)}};
+  WriteRanges(std::move(transaction), std::move(ranges),
+              [](Impl&, TransactionOutcome) {});
+}
+
+void OwnershipController::Impl::On(const MemberRecord& sender,
+                                   const RangeHandover& message) {
+  if (message.incarnation != sender.incarnation || message.keys.empty() ||
+      !message.keys[0].key.empty()) {
+    return;
+  }
+  const uint64_t id = message.keys[0].body_hash;
+  const int64_t part = message.keys[0].accepted_unix_ms;
+  Incoming& incoming = incoming_[sender.vm];
+  if (part == 0) {
+    incoming = {sender.incarnation, id, 0, {}};
+  }
+  const bool in_order = incoming.incarnation == sender.incarnation &&
+                        incoming.id == id && incoming.next_part == part;
+  if (in_order) {
+    ++incoming.next_part;
+    incoming.keys.insert(incoming.keys.end(), message.keys.begin() + 1,
+                         message.keys.end());
+  }
+  if (!message.last) {
+    return;
+  }
+  const bool accepted = in_order && !draining_ && acquired_;
+  if (accepted) {
+    received_keys_.insert(received_keys_.end(), incoming.keys.begin(),
+                          incoming.keys.end());
+    // The ranges row names this daemon soon.
+    PollSoon(absl::Milliseconds(400));
+  }
+  incoming_.erase(sender.vm);
+  transport_.Send(sender.peer_address,
+                  RangeHandoverReply{message.incarnation, accepted});
+}
+
+void OwnershipController::Impl::On(const MemberRecord& sender,
+                                   const RangeHandoverReply& message) {
+  if (!transfer_.has_value() ||
+      transfer_->phase != Transfer::Phase::kAwaitingReply ||
+      message.incarnation != settings_.incarnation ||
+      sender.vm != transfer_->target.vm ||
+      sender.incarnation != transfer_->target.incarnation) {
+    return;
+  }
+  if (message.accepted) {
+    transfer_->phase = Transfer::Phase::kWriting;
+    WriteTransfer();
+  } else {
+    transfer_.reset();
+  }
+}
+
+// --- Decisions ---
+
+bool OwnershipController::Impl::IsQuarantined(
+    const Range& range,
+    const JobKey& key,
+    absl::Duration* retry_after) const {
+  if (range.takeover_ms == 0) {
+    return false;
+  }
+  // Predecessors accepted stamps up to one skew ahead of their clocks, which
+  // differ from the clock of the takeover by up to another.
+  const absl::Time last_accepted =
+      absl::FromUnixMillis(range.takeover_ms) + 2 * settings_.max_clock_skew;
+  if (key.form == KeyForm::kStamped) {
+    *retry_after = absl::ZeroDuration();
+    return key.stamp <= last_accepted;
+  }
+  *retry_after = last_accepted + settings_.resubmission_window - clock_.Wall();
+  return *retry_after > absl::ZeroDuration();
+}
+
+OwnershipDecision OwnershipController::Impl::Resolve(const JobKey& key) const {
+  OwnershipDecision decision;
+  decision.decided_at = Now();
+  decision.verdict = OwnershipVerdict::kUnknown;
+  decision.error.step = Step::kOwnership;
+  if (superseded_ || membership_.self().state == MemberState::kGone) {
+    decision.error.code = ErrorCode::kDraining;
+  } else if (key.form == KeyForm::kMinted) {
+    ResolveMinted(key, &decision);
+  } else if (key.failure_domain != settings_.failure_domain) {
+    const auto target = membership_.FreshestIn(key.failure_domain);
+    if (target.has_value()) {
+      decision.verdict = OwnershipVerdict::kForward;
+      decision.target = *target;
+    } else {
+      decision.error.code = ErrorCode::kUnreachable;
+      decision.error.peer = key.failure_domain;
+      decision.retry_after = kRetryAfter;
+    }
+  } else if (!ranges_valid_) {
+    decision.error.code = ErrorCode::kNotReady;
+    decision.retry_after = kRetryAfter;
+  } else if (IsMine(ranges_[key.range])) {
+    ResolveOwned(key, &decision);
+  } else {
+    ResolveElsewhere(key, &decision);
+  }
+  if (decision.verdict == OwnershipVerdict::kAccept ||
+      decision.verdict == OwnershipVerdict::kForward) {
+    decision.error = {};
+  }
+  return decision;
+}
+
+void OwnershipController::Impl::ResolveMinted(
+    const JobKey& key,
+    OwnershipDecision* decision) const {
+  if (key.vm == settings_.vm && key.incarnation == settings_.incarnation) {
+    const absl::Duration age = Now() - key.stamp;
+    if (age > settings_.resubmission_window - kStampMargin) {
+      decision->error.code = ErrorCode::kKeyExpired;
+    } else if (age < absl::ZeroDuration()) {
+      decision->verdict = OwnershipVerdict::kNotRun;
+      decision->error.code = ErrorCode::kInvalidArgument;
+      decision->error.detail = "the key was not minted here";
+    } else {
+      decision->verdict = OwnershipVerdict::kAccept;
+    }
+    return;
+  }
+  const auto member = membership_.Find(key.vm);
+  if (key.vm != settings_.vm && member.has_value() &&
+      member->incarnation == key.incarnation &&
+      membership_.IsReachable(key.vm)) {
+    decision->verdict = OwnershipVerdict::kForward;
+    decision->target = *member;
+    return;
+  }
+  decision->error.code = ErrorCode::kUnreachable;
+  decision->error.peer = key.vm;
+  decision->error.detail = "the daemon that minted the key is not reachable";
+}
+
+// "Not run" is answered only while this daemon certainly is the sole owner: no
+// other daemon can have accepted the key, and the job table of this one does
+// not have it.
+void OwnershipController::Impl::ResolveOwned(
+    const JobKey& key,
+    OwnershipDecision* decision) const {
+  const absl::Time now = Now();
+  const absl::Time valid_until = ValidUntil();
+  decision->retry_after = kRetryAfter;
+  if (IsQuarantined(ranges_[key.range], key, &decision->retry_after)) {
+    decision->error.code = ErrorCode::kQuarantined;
+    return;
+  }
+  const bool in_transfer =
+      transfer_.has_value() && transfer_->ranges.contains(key.range);
+  if (!received_keys_.empty() ||
+      (in_transfer && transfer_->phase == Transfer::Phase::kWriting)) {
+    decision->error.code = ErrorCode::kNotReady;
+    decision->error.detail = "the key range is being handed over";
+    return;
+  }
+  if (now >= valid_until) {
+    decision->error.code = ErrorCode::kLeaseInvalid;
+    // Nobody takes over before the margin has passed as well.
+    if (now < valid_until + settings_.takeover_margin) {
+      decision->verdict = OwnershipVerdict::kNotRun;
+    }
+    return;
+  }
+  if (key.form == KeyForm::kStamped) {
+    const absl::Duration age = clock_.Wall() - key.stamp;
+    if (age > settings_.resubmission_window - kStampMargin) {
+      decision->error.code = ErrorCode::kKeyExpired;
+      return;
+    }
+    if (age < -settings_.max_clock_skew) {
+      decision->verdict = OwnershipVerdict::kNotRun;
+      decision->error.code = ErrorCode::kInvalidArgument;
+      decision->error.detail = "the time stamp of the key is in the future";
+      return;
+    }
+  }
+  if (in_transfer || draining_) {
+    decision->verdict = OwnershipVerdict::kNotRun;
+    decision->error.code =
+        draining_ ? ErrorCode::kDraining : ErrorCode::kNotReady;
+    return;
+  }
+  decision->verdict = OwnershipVerdict::kAccept;
+  decision->retry_after = absl::ZeroDuration();
+}
+
+void OwnershipController::Impl::ResolveElsewhere(
+    const JobKey& key,
+    OwnershipDecision* decision) const {
+  const Range& range = ranges_[key.range];
+  decision->retry_after = kRetryAfter;
+  if (range.vm.empty() || range.vm == settings_.vm) {
+    decision->error.code = ErrorCode::kNoOwner;
+    return;
+  }
+  const auto member = membership_.Find(range.vm);
+  if (member.has_value() && member->incarnation == range.incarnation &&
+      membership_.IsReachable(range.vm)) {
+    decision->verdict = OwnershipVerdict::kForward;
+    decision->target = *member;
+    return;
+  }
+  decision->error.code = ErrorCode::kUnreachable;
+  decision->error.peer = range.vm;
+}
+
+void OwnershipController::Impl::OnPeerMessage(const MemberRecord& sender,
+                                              const PeerMessage& message) {
+  if (superseded_ || sender.vm == settings_.vm) {
+    return;
+  }
+  std::visit([&](const auto& it) { On(sender, it); }, message);
+}
+
+OwnershipController::OwnershipController(const OwnershipSettings& settings,
+                                         const Clock& clock,
+                                         Store& store,
+                                         PeerTransport& transport,
+                                         const Membership& membership)
+    : impl_(std::make_shared<Impl>(settings,
+                                   clock,
+                                   store,
+                                   transport,
+                                   membership)) {}
+
+OwnershipController::~OwnershipController() = default;
+
+void OwnershipController::Tick() {
+  impl_->Tick();
+}
+
+void OwnershipController::OnPeerMessage(const MemberRecord& sender,
+                                        const PeerMessage& message) {
+  impl_->OnPeerMessage(sender, message);
+}
+
+OwnershipDecision OwnershipController::Resolve(const JobKey& key) const {
+  return impl_->Resolve(key);
+}
+
+bool OwnershipController::IsLeaseValid() const {
+  return impl_->IsLeaseValid();
+}
+
+bool OwnershipController::OwnsRange(uint32_t range) const {
+  return impl_->OwnsRange(range);
+}
+
+std::vector<uint32_t> OwnershipController::OwnedRanges() const {
+  return impl_->OwnedRanges();
+}
+
+void OwnershipController::BeginHandover(std::vector<RememberedKey> keys) {
+  impl_->BeginHandover(std::move(keys));
+}
+
+bool OwnershipController::handover_finished() const {
+  return impl_->handover_finished();
+}
+
+std::vector<RememberedKey> OwnershipController::TakeReceivedKeys() {
+  return impl_->TakeReceivedKeys();
+}
+
+void OwnershipController::SetKeySource(KeySource source) {
+  impl_->SetKeySource(std::move(source));
+}
+
+}  // namespace radishrail
