Test the job table with random events

Cause: the fixed tests cover chosen orders of events only. Ruled out: a second model of the whole job table, since its faults would resemble those of the table; the test checks invariants of what is visible. Change: 500 seeds of 400 events each (submissions, resubmissions, conflicts, cancels, refusals, results in time, late, twice or never, pauses past deadline and resubmission window); two tests for gaps that altered sources showed.

--- a/tests/job_controller_test.cc
+++ b/tests/job_controller_test.cc
@@ -1,5 +1,7 @@
 #include "radishrail/job_controller.h"
 
+#include <algorithm>
+#include <deque>
 #include <map>
 #include <string>
 
@@ -276,6 +278,30 @@
   EXPECT_EQ(scheduler_.bad_calls, 0);
 }
 
+// Guards against a job that waits for its deadline although all that is left
+// of it certainly did not start.
+TEST_F(JobControllerTest, NotStarted_AfterOtherTaskFailed_EndsJobAtOnce) {
+  Submit(TestJob("k", 2));
+  jobs_.Tick();
+  Respond(0, Outcome(TaskOutcome::kFailed));
+  Respond(1, Outcome(TaskOutcome::kNotStarted, ErrorCode::kUpstreamBusy));
+  ASSERT_TRUE(answers_[0].has_value());
+  EXPECT_EQ(answers_[0]->tasks[1].status, TaskStatus::kNotRun);
+}
+
+// Guards against a second start because of a fault of the scheduler.
+TEST_F(JobControllerTest, Placement_OfRunningOrUnknownTask_IsNotDispatched) {
+  Submit(TestJob("k", 1));
+  jobs_.Tick();
+  const uint64_t job = scheduler_.last_demand.job;
+  for (const TaskRef ref : {TaskRef{job, 0}, TaskRef{job, 9}, TaskRef{99, 0}}) {
+    scheduler_.forced = Placement{ref, 1};
+    jobs_.Tick();
+  }
+  EXPECT_EQ(client_.calls.size(), 1u);
+  EXPECT_EQ(Count("radishrail_placements_invalid_total"), 3u);
+}
+
 // Guards against a late result that changes an answer or frees a slot twice.
 TEST_F(JobControllerTest, LateAndDuplicateResults_AreCountedAndDropped) {
   Submit(TestJob("k", 2));
@@ -450,5 +476,269 @@
   EXPECT_EQ(answer->status, JobStatus::kComplete);
 }
 
+// Drives the job table with random events and checks its invariants after
+// each. All randomness comes from one seed.
+class JobTableSimulation {
+ public:
+  explicit JobTableSimulation(uint64_t seed) : random_(seed) {
+    upstreams_.OnVmList(TestVms(3, 4));
+    client_.on_start = [this](const TaskStart& it) { OnStart(it); };
+  }
+
+  // Returns the trace if an invariant was violated, otherwise nothing.
+  std::string Run(int steps) {
+    for (int i = 0; i < steps && violation_.empty(); ++i) {
+      Step();
+    }
+    for (int i = 0; i < 8 && violation_.empty(); ++i) {
+      Advance(absl::Seconds(100));
+    }
+    CheckAtEnd();
+    return violation_.empty() ? "" : trace_ + violation_;
+  }
+
+  size_t starts() const { return client_.calls.size(); }
+  const std::map<JobStatus, int>& statuses() const { return statuses_; }
+
+ private:
+  struct Submission {
+    JobSpec job;
+    bool answered = false;
+  };
+  // What was seen of one task under one key.
+  struct TaskHistory {
+    absl::Time last_start;
+    bool may_start = true;
+    int attempt = 0;  // of the last start
+  };
+  using TaskName = std::pair<std::string, std::string>;
+
+  void Trace(const std::string& text) { trace_ += text + "\n"; }
+  void Check(bool holds, const std::string& what) {
+    if (!holds && violation_.empty()) {
+      violation_ = "violated: " + what;
+    }
+  }
+
+  void Step() {
+    switch (random_.Below(10)) {
+      case 0:
+      case 1:
+      case 2:
+        Submit();
+        break;
+      case 3:
+        Cancel();
+        break;
+      case 4:
+        Refuse();
+        break;
+      case 5:
+        Advance(absl::Milliseconds(random_.Below(300)));
+        break;
+      case 6:
+        // A pause of the process, seldom longer than the resubmission window.
+        Pause();
+        break;
+      default:
+        Respond();
+        break;
+    }
+    if (random_.Below(2) == 0) {
+      jobs_.Tick();
+    }
+  }
+
+  void Submit() {
+    const uint64_t body = random_.Below(8) == 0 ? 1 : 0;
+    Submission submission;
+    submission.job = TestJob("key" + std::to_string(random_.Below(6)),
+                             static_cast<int>(body) + 2,
+                             absl::Milliseconds(51 + random_.Below(2000)));
+    submission.job.body_hash = body;
+    submission.job.environment = random_.Below(8) == 0 ? "other" : "booking";
+    for (auto& it : submission.job.tasks) {
+      it.payload = Payload(submission.job, it.id);
+    }
+    submissions_.push_back(submission);
+    const size_t index = submissions_.size() - 1;
+    Trace("submit " + std::to_string(index) + " " + submission.job.key +
+          " body " + std::to_string(body) + " of " +
+          submission.job.environment);
+    const auto callback = [this, index](const JobAnswer& answer) {
+      OnAnswer(submissions_[index], answer);
+    };
+    if (!jobs_.Join(submission.job, callback)) {
+      jobs_.Accept(submission.job, TestDocument(), callback);
+    }
+  }
+
+  void Cancel() {
+    const std::string key = "key" + std::to_string(random_.Below(6));
+    Trace("cancel " + key);
+    jobs_.Cancel(key);
+  }
+
+  void Refuse() {
+    if (random_.Below(2) == 0) {
+      scheduler_.hopeless = {scheduler_.last_demand.job};
+      Trace("hopeless " + std::to_string(scheduler_.last_demand.job));
+      return;
+    }
+    scheduler_.refusal.reset();
+    if (random_.Below(4) == 0) {
+      scheduler_.refusal =
+          Refusal{{ErrorCode::kOverloaded, {}, "", ""}, absl::Seconds(1)};
+    }
+    Trace("admission changed");
+  }
+
+  void Advance(absl::Duration duration) {
+    Trace("advance " + absl::FormatDuration(duration));
+    clock_.Advance(duration);
+    jobs_.Tick();
+  }
+
+  void Pause() {
+    const uint64_t n = random_.Below(40);
+    const absl::Duration pause =
+        n == 0 ? absl::Seconds(700) : absl::Milliseconds(n * 50);
+    Trace("pause " + absl::FormatDuration(pause));
+    clock_.Advance(pause);
+  }
+
+  // Calls back for any start so far: in time, late, again or never.
+  void Respond() {
+    if (client_.calls.empty()) {
+      return;
+    }
+    const size_t recent = std::min<size_t>(client_.calls.size(), 12);
+    const size_t index = client_.calls.size() - 1 - random_.Below(recent);
+    const auto call = client_.calls[index];
+    static constexpr TaskOutcome kOutcomes[] = {
+        TaskOutcome::kNotStarted, TaskOutcome::kNotStarted,
+        TaskOutcome::kFailed, TaskOutcome::kUnknown};
+    TaskResult result;
+    // A client reports one outcome for a start, however often it calls back.
+    const uint64_t n = random_.Below(24);
+    result.outcome =
+        outcomes_.emplace(index, n < 4 ? kOutcomes[n] : TaskOutcome::kDone)
+            .first->second;
+    result.output = call.start.payload;
+    result.run_time = absl::Milliseconds(1 + random_.Below(100));
+    Trace("respond to start " + std::to_string(index) + " with " +
+          std::to_string(static_cast<int>(result.outcome)));
+    TaskHistory& history = tasks_[{call.start.job_key, call.start.task_id}];
+    if (result.outcome == TaskOutcome::kNotStarted &&
+        history.attempt == call.start.attempt &&
+        history.last_start == started_[index]) {
+      history.may_start = true;
+    }
+    call.callback(std::move(result));
+  }
+
+  void OnStart(const TaskStart& start) {
+    const absl::Time now = clock_.Monotonic();
+    Trace("start " + std::to_string(client_.calls.size()) + " " +
+          start.job_key + " " + start.task_id + " attempt " +
+          std::to_string(start.attempt));
+    TaskHistory& history = tasks_[{start.job_key, start.task_id}];
+    const bool forgotten = now - history.last_start >= kResubmissionWindow;
+    Check(history.may_start || forgotten, "task handed over again");
+    Check(now < start.start_by_monotonic, "task handed over too late");
+    history = {now, false, start.attempt};
+    started_.push_back(now);
+    last_start_[start.payload] = now;
+  }
+
+  void OnAnswer(Submission& submission, const JobAnswer& answer) {
+    Trace("answer to " + submission.job.key + ": " +
+          std::string(JobStatusName(answer.status)));
+    Check(!submission.answered, "answered twice");
+    submission.answered = true;
+    ++statuses_[answer.status];
+    Check(answer.key == submission.job.key, "answer to another key");
+    Check(answer.environment == submission.job.environment,
+          "answer of another environment");
+    Check(answer.tasks.size() == submission.job.tasks.size(), "partial answer");
+    bool all_done = true;
+    for (size_t i = 0; i < answer.tasks.size() && violation_.empty(); ++i) {
+      CheckTask(submission.job, i, answer);
+      all_done &= answer.tasks[i].status == TaskStatus::kDone;
+    }
+    Check(all_done == (answer.status == JobStatus::kComplete),
+          "status does not match the tasks");
+    Check(answer.status != JobStatus::kRunning, "answer before the end");
+  }
+
+  void CheckTask(const JobSpec& job, size_t index, const JobAnswer& answer) {
+    const TaskAnswer& task = answer.tasks[index];
+    const std::string& payload = job.tasks[index].payload;
+    Check(task.id == job.tasks[index].id, "tasks in another order");
+    Check(task.status != TaskStatus::kQueued &&
+              task.status != TaskStatus::kRunning,
+          "task without a final status");
+    if (task.status == TaskStatus::kDone) {
+      Check(task.output == payload, "output of another task");
+    }
+    if (answer.status == JobStatus::kNotRun && last_start_.contains(payload)) {
+      Check(clock_.Monotonic() - last_start_[payload] >= kResubmissionWindow,
+            "not_run although a task was handed over");
+    }
+  }
+
+  void CheckAtEnd() {
+    for (const auto& it : submissions_) {
+      Check(it.answered, "no answer to " + it.job.key);
+    }
+    Check(jobs_.jobs_in_progress() == 0, "job without end");
+    Check(jobs_.remembered_keys() == 0, "key not forgotten");
+    Check(scheduler_.running_tasks() == 0, "slot not released");
+    Check(scheduler_.bad_calls == 0, "slot released twice");
+  }
+
+  static std::string Payload(const JobSpec& job, const std::string& task) {
+    return job.environment + "/" + job.key + "/" +
+           std::to_string(job.body_hash) + "/" + task;
+  }
+
+  FakeClock clock_;
+  SeededRandom random_;
+  FakeScheduler scheduler_{clock_, 3, 4};
+  UpstreamRegistry upstreams_{UpstreamSettings{"fd-a"}, clock_};
+  FakeUpstreamClient client_;
+  Metrics metrics_;
+  Timeline timeline_{clock_, "vm", 10};
+  JobController jobs_{clock_,  random_,  scheduler_, upstreams_,
+                      client_, metrics_, timeline_};
+  std::deque<Submission> submissions_;
+  std::map<TaskName, TaskHistory> tasks_;
+  std::map<std::string, absl::Time> last_start_;  // by payload
+  std::vector<absl::Time> started_;
+  std::map<size_t, TaskOutcome> outcomes_;
+  std::map<JobStatus, int> statuses_;
+  std::string trace_;
+  std::string violation_;
+};
+
+TEST(JobControllerRandomTest, RandomEvents_KeepInvariants) {
+  size_t starts = 0;
+  std::map<JobStatus, int> statuses;
+  for (uint64_t seed = 1; seed <= 500; ++seed) {
+    JobTableSimulation simulation(seed);
+    const std::string trace = simulation.Run(400);
+    ASSERT_TRUE(trace.empty()) << "seed " << seed << "\n" << trace;
+    starts += simulation.starts();
+    for (const auto& [status, count] : simulation.statuses()) {
+      statuses[status] += count;
+    }
+  }
+  // Guards against a generator that no longer reaches all kinds of answers.
+  EXPECT_GT(starts, 10000u);
+  EXPECT_GT(statuses[JobStatus::kComplete], 1000);
+  EXPECT_GT(statuses[JobStatus::kFailed], 1000);
+  EXPECT_GT(statuses[JobStatus::kNotRun], 1000);
+}
+
 }  // namespace
 }  // namespace radishrail
--- a/tests/job_fakes.h
+++ b/tests/job_fakes.h
@@ -36,6 +36,9 @@
   }
 
   std::optional<Placement> Next() override {
+    if (forced.has_value()) {
+      return std::exchange(forced, std::nullopt);
+    }
     while (!delayed_.empty() && delayed_.begin()->first <= clock_.Monotonic()) {
       queue_.push_back(delayed_.begin()->second);
       delayed_.erase(delayed_.begin());
@@ -78,6 +81,7 @@
 
   std::optional<Refusal> refusal;
   std::vector<uint64_t> hopeless;
+  std::optional<Placement> forced;  // returned once, whatever its state
   JobDemand last_demand;
   absl::Time last_not_before;
   int bad_calls = 0;  // releases of tasks that hold no slot
