Add benchmarks of the job table

Cause: the cost per task, per remembered key and per cancelled task was not measured. Change: benchmarks of acceptance to answer, of memory per key and of a wave of 100,000 cancellations; a late result with "leaving" as its error is heeded.

--- a/benchmark/job_benchmark.cc
+++ b/benchmark/job_benchmark.cc
@@ -1,7 +1,15 @@
+#include <malloc.h>
+
+#include <algorithm>
+#include <chrono>
 #include <string>
 
+#include "../tests/fakes.h"
+#include "../tests/job_fakes.h"
 #include "benchmark/benchmark.h"
+#include "radishrail/job_controller.h"
 #include "radishrail/job_json.h"
+#include "radishrail/random.h"
 
 namespace radishrail {
 namespace {
@@ -33,6 +41,111 @@
     ->Arg(kTasksPerJob)
     ->Unit(benchmark::kMicrosecond);
 
+constexpr int kUpstreams = 48;
+
+// A job table with a trivial scheduler and a client that answers at once.
+struct Table {
+  explicit Table(int slots = 8) : scheduler(clock, kUpstreams, slots) {
+    upstreams.OnVmList(TestVms(kUpstreams));
+  }
+  void Accept(const std::string& key, int tasks) {
+    jobs.Accept(TestJob(key, tasks), document,
+                [this](const JobAnswer& it) { answered += it.tasks.size(); });
+  }
+
+  FakeClock clock;
+  SeededRandom random{1};
+  FakeScheduler scheduler;
+  UpstreamRegistry upstreams{UpstreamSettings{"fd-a"}, clock};
+  ImmediateUpstreamClient client;
+  Metrics metrics;
+  Timeline timeline{clock, "vm", 20000};
+  std::shared_ptr<VersionedDocument> document = TestDocument();
+  JobController jobs{clock,  random,  scheduler, upstreams,
+                     client, metrics, timeline};
+  size_t answered = 0;
+};
+
+// Acceptance, hand-over and result of all tasks of a job, and its answer.
+void BM_AcceptDispatchFinish(benchmark::State& state) {
+  const auto tasks = static_cast<int>(state.range(0));
+  Table table;
+  uint64_t n = 0;
+  for (auto _ : state) {
+    table.Accept("key" + std::to_string(n++), tasks);
+    table.jobs.Tick();
+    // Lets keys expire, so that the table has a steady size.
+    table.clock.Advance(absl::Milliseconds(100));
+  }
+  if (table.answered != n * static_cast<uint64_t>(tasks)) {
+    state.SkipWithError("not all tasks were answered");
+  }
+  state.SetItemsProcessed(state.iterations() * tasks);
+}
+BENCHMARK(BM_AcceptDispatchFinish)->Arg(1)->Arg(10)->Arg(kTasksPerJob);
+
+// Heap bytes of one remembered key of 40 characters with its answer.
+void BM_RememberedKeyBytes(benchmark::State& state) {
+  constexpr size_t kKeys = 100000;
+  const auto tasks = static_cast<int>(state.range(0));
+  double bytes = 0;
+  for (auto _ : state) {
+    Table table;
+    // Fills the ring of events, which would otherwise count as keys.
+    for (int i = 0; i < 20000; ++i) {
+      table.timeline.Record({});
+    }
+    const size_t before = mallinfo2().uordblks;
+    for (size_t i = 0; i < kKeys; ++i) {
+      std::string key = std::to_string(i);
+      key.insert(0, 40 - key.size(), 'k');
+      table.Accept(key, tasks);
+      table.jobs.Tick();
+    }
+    bytes = static_cast<double>(mallinfo2().uordblks - before) / kKeys;
+  }
+  state.counters["bytes_per_key"] = bytes;
+}
+BENCHMARK(BM_RememberedKeyBytes)
+    ->Arg(1)
+    ->Arg(10)
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
+// Cancels 100,000 queued tasks in jobs of the given size. `longest_us` is the
+// longest single call, during which nothing is dispatched.
+void BM_Cancel100000Tasks(benchmark::State& state) {
+  constexpr int kTasks = 100000;
+  const auto tasks = static_cast<int>(state.range(0));
+  const int jobs = kTasks / tasks;
+  std::chrono::duration<double, std::micro> longest{0};
+  for (auto _ : state) {
+    state.PauseTiming();
+    Table table(0);
+    for (int i = 0; i < jobs; ++i) {
+      table.Accept("key" + std::to_string(i), tasks);
+    }
+    state.ResumeTiming();
+    for (int i = 0; i < jobs; ++i) {
+      const auto start = std::chrono::steady_clock::now();
+      table.jobs.Cancel("key" + std::to_string(i));
+      longest = std::max<std::chrono::duration<double, std::micro>>(
+          longest, std::chrono::steady_clock::now() - start);
+    }
+    state.PauseTiming();
+    if (table.jobs.jobs_in_progress() != 0) {
+      state.SkipWithError("a job was not cancelled");
+    }
+    state.ResumeTiming();
+  }
+  state.SetItemsProcessed(state.iterations() * jobs * tasks);
+  state.counters["longest_us"] = longest.count();
+}
+BENCHMARK(BM_Cancel100000Tasks)
+    ->Arg(1)
+    ->Arg(kTasksPerJob)
+    ->Unit(benchmark::kMillisecond);
+
 }  // namespace
 }  // namespace radishrail
 
--- a/include/radishrail/job_controller.h
+++ b/include/radishrail/job_controller.h
@@ -48,18 +48,22 @@
   // false if the key is not remembered.
   bool Join(const JobSpec& job, AnswerCallback callback);
   // Accepts a new job, or refuses it whole (`kNotRun`) without remembering it.
-  // The caller has established ownership of the key in the same turn.
+  // The caller has established ownership of the key in the same turn. An
+  // accepted job that ends as `kNotRun` is forgotten too, unless it was
+  // cancelled.
   void Accept(JobSpec job,
               std::shared_ptr<const VersionedDocument> document,
               AnswerCallback callback);
-  // The present state of a job; nullopt if the key is not remembered.
+  // The present state of a job; nullopt if the key is not remembered. Outputs
+  // are included only when the answer is whole.
   std::optional<JobAnswer> Find(std::string_view key) const;
   // Drops queued tasks; tasks in progress are awaited. False if not remembered.
   bool Cancel(std::string_view key);
 
   // Places tasks, ends jobs past their deadline, forgets keys past the
   // resubmission window. Call it after each event and at least every 10 ms
-  // while jobs are in progress.
+  // while jobs are in progress. Also moves the transitions of the upstream
+  // registry to the timeline.
   void Tick();
 
   // For a handover: all remembered range-bound keys.
--- a/include/radishrail/upstream_registry.h
+++ b/include/radishrail/upstream_registry.h
@@ -80,7 +80,8 @@
   // Upstreams that changed since the last call, as capacities with all their
   // slots (one in probation).
   std::vector<UpstreamCapacity> TakeChanges();
-  // Changes of state since the last call, in order.
+  // Changes of state since the last call, in order. `JobController::Tick` takes
+  // them for the timeline.
   std::vector<UpstreamTransition> TakeTransitions();
 
  private:
--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -703,7 +703,9 @@
             const TaskResult& result) {
     counters_.dropped_results.Add();
     const std::optional<UpstreamView> view = upstreams_.Find(upstream);
-    if (view.has_value() && result.upstream_leaving) {
+    if (view.has_value() &&
+        (result.upstream_leaving ||
+         result.error.code == ErrorCode::kUpstreamLeaving)) {
       upstreams_.OnLeaving(view->info.vm);
     }
     RecordEvent(EventType::kLateAnswerDropped, job ? job->spec.key : "",
--- a/src/upstream_registry.cc
+++ b/src/upstream_registry.cc
@@ -301,12 +301,15 @@
     if (info.state == VmState::kLeaving) {
       SetLeaving(*entry, "VM list");
     }
+    entry->info.state = info.state;
+    // The list has 21,000 lines once a second at the target size; unchanged
+    // ones are not copied.
     if (entry->info.slots != info.slots ||
         entry->info.upstream_class != info.upstream_class ||
         entry->info.failure_domain != info.failure_domain) {
+      entry->info = info;
       MarkDirty(*entry);
     }
-    entry->info = info;
   }
 
   void Replace(Entry& entry) {
