Test deleted log rows and lower versions in the document controller

Change: a test for a log row that is already deleted, and one for a peer that pushes a lower version.

--- a/tests/document_controller_test.cc
+++ b/tests/document_controller_test.cc
@@ -537,6 +537,35 @@
   EXPECT_EQ(fleet.store(0).lists, 0);
 }
 
+// Guards against a document lost because its log row was already deleted.
+TEST(DocumentControllerTest, Poll_LogRowDeleted_ReadsEnvironmentRows) {
+  Fleet fleet(2);
+  fleet.Put(0, "a", Body("a", 1), "op-1");
+  fleet.Run(absl::Seconds(3));
+  fleet.SetPartitioned(0, 1, true);
+  fleet.store(1).down = true;
+  fleet.Put(0, "b", Body("b", 1), "op-2");
+  fleet.Put(0, "c", Body("c", 1), "op-3");
+  std::string conflict;
+  ASSERT_TRUE(fleet.platform.Commit({{}, {{"documents/log/2", std::nullopt}}},
+                                    &conflict));
+  fleet.store(1).down = false;
+  fleet.Run(absl::Seconds(5));
+  EXPECT_EQ(fleet.controller(1).revision(), 3);
+  EXPECT_NE(fleet.controller(1).Find("b", Stage::kTrial), nullptr);
+}
+
+// Guards invariant 8 against a peer with a wrong history.
+TEST(DocumentControllerTest, Push_LowerVersion_IsNotApplied) {
+  Fleet fleet(1);
+  fleet.Put(0, "a", Body("a", 1), "op-1");
+  fleet.Put(0, "a", Body("a", 2), "op-2");
+  const MemberRecord peer{"vm-9", 1, 1, "north", "0", MemberState::kReady, 1};
+  fleet.controller(0).OnPeerMessage(
+      peer, DocumentPush{3, {{3, "a", "trial", 1, Body("a", 1)}}, true});
+  EXPECT_EQ(fleet.controller(0).Find("a", Stage::kTrial)->version, 2);
+}
+
 // Guards against one document of a newer release that holds up all others.
 TEST(DocumentControllerTest, Apply_BodyOfNewerRelease_KeepsLastValidVersion) {
   Fleet fleet(1);
