--- a/benchmark/policy_benchmark.cc
+++ b/benchmark/policy_benchmark.cc
@@ -12,6 +12,7 @@
 #include "baseline_schedulers.h"
 #include "driver.h"
 #include "ideal.h"
+#include "radishrail/policy_scheduler.h"
 #include "workload.h"
 
 namespace radishrail::benchmark {
@@ -187,8 +188,12 @@
   }
 
   std::unique_ptr<Scheduler> MakeScheduler(const std::string& policy,
-                                           const Clock& /*clock*/,
+                                           const Clock& clock,
                                            int daemon) const {
+    if (policy == "radishrail") {
+      return std::make_unique<PolicyScheduler>(clock,
+                                               PolicySchedulerSettings());
+    }
     const BaselineChoice choice = policy == "random" ? BaselineChoice::kRandom
                                   : policy == "round_robin"
                                       ? BaselineChoice::kRoundRobin
@@ -247,7 +252,7 @@
   for (size_t i = 0; i < kRowCount; ++i) {
     absl::PrintF(
         "%-40s %8s", kRows[i].name,
-        absl::StrFormat(kRows[i].at_most ? "<= %g" : ">= %g", kRows[i].target));
+        absl::StrCat(kRows[i].at_most ? "<= " : ">= ", kRows[i].target));
     for (size_t n = 0; n < policies.size(); ++n) {
       absl::PrintF(" %12.3f", reports[n].rows[i]);
     }
--- /dev/null
+++ b/src/policy_scheduler.cc
@@ -0,0 +1,1033 @@
+#include "radishrail/policy_scheduler.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <functional>
+#include <limits>
+#include <string>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/inlined_vector.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "run_time_table.h"
+#include "upstream_pools.h"
+
+namespace radishrail {
+
+namespace {
+
+using internal::KindId;
+using internal::PoolId;
+using JobIndex = uint32_t;
+using GroupId = uint32_t;
+using LaneId = uint32_t;
+
+// A heap is rebuilt without its stale entries when they outnumber the live
+// ones by this many, which keeps removal at amortised constant time.
+constexpr size_t kStaleEntries = 64;
+// Delay before a task is tried again whose only free upstream is to be avoided.
+constexpr double kAvoidDelaySeconds = 0.005;
+// Time constant with which the highest capacity is forgotten.
+constexpr double kPeakSeconds = 30;
+constexpr uint32_t kNoTicket = 0;
+
+// Queued work by the remaining work of its job, in powers of two.
+constexpr int kWorkBuckets = 40;
+
+int BucketOf(double work_s) {
+  // Bucket 0 holds jobs below about 1 ms.
+  return std::clamp(std::ilogb(std::max(work_s, 1e-4)) + 10, 0,
+                    kWorkBuckets - 1);
+}
+
+template <typename Entry>
+void PushHeap(std::vector<Entry>* heap, const Entry& entry) {
+  heap->push_back(entry);
+  std::push_heap(heap->begin(), heap->end(), std::greater<>());
+}
+
+template <typename Entry>
+void PopHeap(std::vector<Entry>* heap) {
+  std::pop_heap(heap->begin(), heap->end(), std::greater<>());
+  heap->pop_back();
+}
+
+enum class TaskState : uint8_t { kQueued, kDelayed, kRunning, kEnded };
+
+struct Task {
+  KindId kind = 0;
+  UpstreamId upstream = 0;  // running: where; queued: to be avoided
+  float expected_s = 0;
+  uint16_t slots = 1;
+  TaskState state = TaskState::kQueued;
+  bool avoids = false;
+  bool counted_long = false;
+
+  double work_s() const { return static_cast<double>(expected_s) * slots; }
+};
+
+// The queued tasks of a job in one lane. `ticket` identifies the valid entry in
+// the lane's heap.
+struct JobLane {
+  LaneId lane = 0;
+  uint32_t ticket = kNoTicket;
+  double pushed_work_s = 0;
+  std::vector<uint32_t> tasks;  // next one last
+};
+
+struct Job {
+  uint64_t id = 0;
+  uint32_t generation = 0;
+  GroupId group = 0;
+  bool live = false;
+  bool started = false;
+  bool hopeless = false;
+  bool removed = false;
+  bool has_promise = false;  // could be met when the job was admitted
+  uint32_t queued = 0;
+  uint32_t running = 0;
+  double promise_by_s = 0;
+  double start_by_s = 0;
+  double queued_work_s = 0;
+  double longest_s = 0;
+  uint64_t domains = 0;
+  std::vector<Task> tasks;
+  absl::InlinedVector<JobLane, 1> lanes;
+};
+
+struct HeapEntry {
+  double key = 0;
+  JobIndex job = 0;
+  uint32_t ticket = 0;  // ticket of the job's lane, or generation of the job
+  bool operator>(const HeapEntry& other) const { return key > other.key; }
+};
+
+struct DelayedTask {
+  double due_s = 0;
+  JobIndex job = 0;
+  uint32_t generation = 0;
+  uint32_t task = 0;
+  bool operator>(const DelayedTask& other) const { return due_s > other.due_s; }
+};
+
+struct GroupLane {
+  std::vector<HeapEntry> heap;
+  size_t live = 0;
+  bool listed = false;  // in `Lane::groups`
+};
+
+// A team of an environment.
+struct Group {
+  uint32_t environment = 0;
+  int share = 1;
+  int max_running = 0;
+  uint32_t queued = 0;
+  int running = 0;
+  int running_slots = 0;
+  std::vector<GroupLane> lanes;
+};
+
+struct Environment {
+  uint32_t queued = 0;
+  int active_shares = 0;  // of teams with queued tasks
+};
+
+// Tasks that compete for the same upstreams: same classes, same slots, and
+// either all long or all short.
+struct Lane {
+  PoolId pool = 0;
+  int slots = 1;
+  bool is_long = false;
+  std::vector<GroupId> groups;  // with entries in their heap
+  double blocked_since_s = -1;
+};
+
+}  // namespace
+
+class PolicyScheduler::Impl {
+ public:
+  Impl(const Clock& clock, const PolicySchedulerSettings& settings)
+      : clock_(clock),
+        settings_(settings),
+        epoch_(clock.Monotonic()),
+        kinds_(settings.max_kinds,
+               settings.long_factor,
+               absl::ToDoubleSeconds(settings.min_long_run)),
+        pools_(settings.spill, settings.home_preference) {}
+
+  std::optional<Refusal> Admit(const JobDemand& demand);
+  std::optional<Placement> Next();
+  void Requeue(TaskRef ref,
+               absl::Time not_before,
+               std::optional<UpstreamId> avoid);
+  void Finish(TaskRef ref, std::optional<absl::Duration> run_time);
+  void Remove(uint64_t id);
+  std::vector<uint64_t> TakeHopeless();
+  void SetUpstream(const UpstreamCapacity& capacity) { pools_.Set(capacity); }
+  void RemoveUpstream(UpstreamId upstream) { pools_.Remove(upstream); }
+  size_t queued_tasks() const { return queued_; }
+  size_t running_tasks() const { return running_; }
+
+ private:
+  struct Candidate {
+    LaneId lane = 0;
+    GroupId group = 0;
+    bool over_share = false;
+    double key = 0;
+  };
+
+  double Seconds(absl::Time time) const {
+    return absl::ToDoubleSeconds(time - epoch_);
+  }
+  double Now() const { return Seconds(clock_.Monotonic()); }
+
+  // Admission.
+  std::optional<Refusal> CheckFeasible(const JobDemand& demand, double now);
+  Refusal Refuse(ErrorCode code, std::string detail, double retry_s) const;
+  double WorkAhead(double work_s) const;
+  double Capacity() const;
+  void UpdatePeakCapacity(double now);
+  JobIndex NewJob(uint64_t id);
+  void AddTasks(const JobDemand& demand, Job* job, double now);
+
+  // Groups and lanes.
+  uint32_t FindEnvironment(const std::string& name);
+  GroupId FindGroup(uint32_t environment, const JobDemand& demand);
+  LaneId FindLane(PoolId pool, int slots, bool is_long);
+  void AddQueued(Job* job, int change);
+  void CountWork(const Job& job, int sign);
+  JobLane* LaneOfJob(Job* job, LaneId lane);
+  double KeyOf(const Job& job) const;
+  void Push(JobIndex index, JobLane* job_lane);
+  void Compact(LaneId lane, GroupLane* group_lane);
+  bool IsValid(const HeapEntry& entry, LaneId lane) const;
+  void DropInvalidTop(LaneId lane, GroupLane* group_lane);
+  void Invalidate(JobIndex index, JobLane* job_lane);
+
+  // Placement.
+  void ReleaseDelayed(double now);
+  bool LongLimitReached(int slots) const;
+  void CheckBlocked(Lane* lane, double now);
+  bool OverShare(const Group& group) const;
+  std::optional<Candidate> Select(double now);
+  void SelectInLane(LaneId lane, std::optional<Candidate>* best);
+  std::optional<Placement> TryPlace(const Candidate& candidate, double now);
+  bool CannotMeetPromise(const Job& job, double now) const;
+  void MarkHopeless(JobIndex index);
+  bool MoveToOtherLane(JobIndex index, JobLane* job_lane, double now);
+  void Place(JobIndex index, uint32_t task, UpstreamId upstream, double now);
+  void AfterPop(JobIndex index, LaneId lane);
+  void Enqueue(JobIndex index, uint32_t task, bool is_long);
+  void Delay(JobIndex index, uint32_t task, double due);
+  void ReleaseSlots(Job* job, Task* task, double run_s);
+  void FreeIfDone(JobIndex index);
+
+  void AddShortWork(double work_s, double now);
+  double ShortWorkRate(double now) const;
+
+  const Clock& clock_;
+  const PolicySchedulerSettings settings_;
+  const absl::Time epoch_;
+  internal::RunTimeTable kinds_;
+  internal::UpstreamPools pools_;
+
+  std::vector<Job> jobs_;
+  std::vector<JobIndex> free_jobs_;
+  absl::flat_hash_map<uint64_t, JobIndex> job_ids_;
+  std::vector<Group> groups_;
+  absl::flat_hash_map<std::pair<uint32_t, std::string>, GroupId> group_ids_;
+  std::vector<Environment> environments_;
+  absl::flat_hash_map<std::string, uint32_t> environment_ids_;
+  int active_environments_ = 0;
+  std::vector<Lane> lanes_;
+  std::vector<DelayedTask> delayed_;
+  std::vector<HeapEntry> start_limits_;  // by latest start
+  size_t unstarted_ = 0;
+  std::vector<std::pair<JobIndex, uint32_t>> hopeless_;
+  uint32_t next_ticket_ = kNoTicket;
+  uint32_t next_generation_ = 0;
+
+  size_t queued_ = 0;
+  size_t running_ = 0;
+  int long_slots_ = 0;
+  double queued_work_s_ = 0;
+  std::array<double, kWorkBuckets> work_by_size_{};
+  // Short work that arrived, decaying with the time constant `mix_time`.
+  double short_work_s_ = 0;
+  double short_work_time_s_ = 0;
+  // Highest recent capacity: loans of slots follow demand, so the capacity at
+  // hand understates what a burst gets.
+  double peak_capacity_ = 0;
+  double peak_time_s_ = 0;
+  std::optional<LaneId> reserved_lane_;
+};
+
+// --- Admission ---
+
+std::optional<Refusal> PolicyScheduler::Impl::Admit(const JobDemand& demand) {
+  const double now = Now();
+  if (job_ids_.contains(demand.job)) {
+    return Refuse(ErrorCode::kConflict, "job number is in use", 0);
+  }
+  if (auto refusal = CheckFeasible(demand, now)) {
+    return refusal;
+  }
+  const uint32_t environment = FindEnvironment(demand.environment);
+  const size_t queued = environments_[environment].queued;
+  if (demand.max_queued_tasks > 0 &&
+      queued + demand.tasks.size() >
+          static_cast<size_t>(demand.max_queued_tasks)) {
+    return Refuse(ErrorCode::kQuotaExceeded,
+                  absl::StrCat(queued, " tasks of the environment are queued, ",
+                               demand.max_queued_tasks, " are allowed"),
+                  queued_work_s_ / Capacity());
+  }
+  const JobIndex index = NewJob(demand.job);
+  Job& job = jobs_[index];
+  job.group = FindGroup(environment, demand);
+  job.promise_by_s = Seconds(demand.promise_by) -
+                     absl::ToDoubleSeconds(settings_.promise_margin);
+  job.start_by_s = Seconds(demand.start_by);
+  AddTasks(demand, &job, now);
+  const double shortest = job.longest_s / pools_.top_speed();
+  job.has_promise = now + shortest <= job.promise_by_s;
+  const double wait = WorkAhead(job.queued_work_s) / Capacity();
+  if (job.has_promise && now + wait + shortest > job.promise_by_s) {
+    const double excess = now + wait + shortest - job.promise_by_s;
+    for (const auto& it : job.tasks) {
+      kinds_.Release(it.kind, now);
+    }
+    job = Job();
+    free_jobs_.push_back(index);
+    return Refuse(ErrorCode::kOverloaded,
+                  "queued work ahead of the job exceeds its promise", excess);
+  }
+  job_ids_.emplace(demand.job, index);
+  AddQueued(&job, static_cast<int>(job.tasks.size()));
+  CountWork(job, 1);
+  for (auto& it : job.lanes) {
+    // Longest first, since the job ends with its last task.
+    std::stable_sort(it.tasks.begin(), it.tasks.end(),
+                     [&job](uint32_t a, uint32_t b) {
+                       return job.tasks[a].expected_s < job.tasks[b].expected_s;
+                     });
+    Push(index, &it);
+  }
+  ++unstarted_;
+  PushHeap(
+      &start_limits_,
+      {job.has_promise ? std::min(job.promise_by_s - shortest, job.start_by_s)
+                       : job.start_by_s,
+       index, job.generation});
+  return std::nullopt;
+}
+
+std::optional<Refusal> PolicyScheduler::Impl::CheckFeasible(
+    const JobDemand& demand,
+    double now) {
+  if (demand.tasks.empty()) {
+    return Refuse(ErrorCode::kInfeasible, "the job has no tasks", 0);
+  }
+  if (!pools_.Knows(demand.upstream_classes)) {
+    return Refuse(ErrorCode::kInfeasible,
+                  absl::StrCat("no upstream of class ",
+                               absl::StrJoin(demand.upstream_classes, ", ")),
+                  0);
+  }
+  const int largest =
+      std::max(settings_.largest_upstream_slots, pools_.largest_slots());
+  for (size_t i = 0; i < demand.tasks.size(); ++i) {
+    if (demand.tasks[i].slots < 1 || demand.tasks[i].slots > largest) {
+      return Refuse(
+          ErrorCode::kInfeasible,
+          absl::StrCat("task ", i, " declares ", demand.tasks[i].slots,
+                       " slots, an upstream has 1 to ", largest),
+          0);
+    }
+    if (demand.team_max_running_tasks < 0) {
+      return Refuse(ErrorCode::kInfeasible, "the team may run no tasks", 0);
+    }
+  }
+  if (Seconds(demand.start_by) <= now) {
+    return Refuse(ErrorCode::kInfeasible, "the start-by time has passed", 0);
+  }
+  return std::nullopt;
+}
+
+Refusal PolicyScheduler::Impl::Refuse(ErrorCode code,
+                                      std::string detail,
+                                      double retry_s) const {
+  Refusal refusal;
+  refusal.error = {code, Step::kAdmission, "", std::move(detail)};
+  // A repetition of an infeasible job is refused again.
+  if (code != ErrorCode::kInfeasible && code != ErrorCode::kConflict) {
+    refusal.retry_after = std::clamp(absl::Seconds(retry_s),
+                                     settings_.min_retry, settings_.max_retry);
+  }
+  return refusal;
+}
+
+// Queued work of jobs that go first; jobs of about the same size count half.
+double PolicyScheduler::Impl::WorkAhead(double work_s) const {
+  const int bucket = BucketOf(work_s);
+  double sum = work_by_size_[bucket] / 2;
+  for (int i = 0; i < bucket; ++i) {
+    sum += work_by_size_[i];
+  }
+  return std::max(sum, 0.0);
+}
+
+double PolicyScheduler::Impl::Capacity() const {
+  return std::max({pools_.capacity(), peak_capacity_, 1.0});
+}
+
+void PolicyScheduler::Impl::UpdatePeakCapacity(double now) {
+  peak_capacity_ *= std::exp((peak_time_s_ - now) / kPeakSeconds);
+  peak_time_s_ = now;
+  peak_capacity_ = std::max(peak_capacity_, pools_.capacity());
+}
+
+JobIndex PolicyScheduler::Impl::NewJob(uint64_t id) {
+  JobIndex index = 0;
+  if (free_jobs_.empty()) {
+    index = static_cast<JobIndex>(jobs_.size());
+    jobs_.emplace_back();
+  } else {
+    index = free_jobs_.back();
+    free_jobs_.pop_back();
+  }
+  jobs_[index].id = id;
+  jobs_[index].live = true;
+  jobs_[index].generation = ++next_generation_;
+  return index;
+}
+
+void PolicyScheduler::Impl::AddTasks(const JobDemand& demand,
+                                     Job* job,
+                                     double now) {
+  const uint32_t environment = groups_[job->group].environment;
+  job->tasks.resize(demand.tasks.size());
+  PoolId pool = 0;
+  int pool_slots = 0;
+  double short_work_s = 0;
+  for (uint32_t i = 0; i < demand.tasks.size(); ++i) {
+    const TaskDemand& spec = demand.tasks[i];
+    Task& task = job->tasks[i];
+    task.kind = kinds_.Acquire(environment, spec.kind, now);
+    const double expected = kinds_.Expected(
+        task.kind, absl::ToDoubleSeconds(spec.declared_run), now);
+    task.expected_s = static_cast<float>(expected);
+    task.slots = static_cast<uint16_t>(spec.slots);
+    if (pool_slots != spec.slots) {
+      pool = pools_.FindPool(demand.upstream_classes, spec.slots);
+      pool_slots = spec.slots;
+    }
+    const bool is_long = kinds_.IsLong(expected);
+    job->queued_work_s += task.work_s();
+    job->longest_s = std::max(job->longest_s, expected);
+    LaneOfJob(job, FindLane(pool, spec.slots, is_long))->tasks.push_back(i);
+    short_work_s += is_long ? 0 : task.work_s();
+  }
+  AddShortWork(short_work_s, now);
+}
+
+// --- Groups and lanes ---
+
+uint32_t PolicyScheduler::Impl::FindEnvironment(const std::string& name) {
+  const auto [it, added] = environment_ids_.try_emplace(
+      name, static_cast<uint32_t>(environments_.size()));
+  if (added) {
+    environments_.emplace_back();
+  }
+  return it->second;
+}
+
+GroupId PolicyScheduler::Impl::FindGroup(uint32_t environment,
+                                         const JobDemand& demand) {
+  const auto [it, added] =
+      group_ids_.try_emplace(std::pair(environment, demand.team),
+                             static_cast<GroupId>(groups_.size()));
+  if (added) {
+    groups_.emplace_back();
+    groups_.back().environment = environment;
+  }
+  Group& group = groups_[it->second];
+  const int share = std::max(demand.team_share, 1);
+  if (group.queued > 0) {
+    environments_[environment].active_shares += share - group.share;
+  }
+  group.share = share;
+  group.max_running = demand.team_max_running_tasks;
+  return it->second;
+}
+
+LaneId PolicyScheduler::Impl::FindLane(PoolId pool, int slots, bool is_long) {
+  for (LaneId i = 0; i < lanes_.size(); ++i) {
+    if (lanes_[i].pool == pool && lanes_[i].is_long == is_long) {
+      return i;
+    }
+  }
+  Lane lane;
+  lane.pool = pool;
+  lane.slots = slots;
+  lane.is_long = is_long;
+  lanes_.push_back(lane);
+  return static_cast<LaneId>(lanes_.size() - 1);
+}
+
+void PolicyScheduler::Impl::AddQueued(Job* job, int change) {
+  Group& group = groups_[job->group];
+  Environment& environment = environments_[group.environment];
+  const bool group_was_active = group.queued > 0;
+  const bool environment_was_active = environment.queued > 0;
+  job->queued += change;
+  group.queued += change;
+  environment.queued += change;
+  queued_ += change;
+  if (group_was_active != (group.queued > 0)) {
+    environment.active_shares += group.queued > 0 ? group.share : -group.share;
+  }
+  if (environment_was_active != (environment.queued > 0)) {
+    active_environments_ += environment.queued > 0 ? 1 : -1;
+  }
+}
+
+void PolicyScheduler::Impl::CountWork(const Job& job, int sign) {
+  work_by_size_[BucketOf(job.queued_work_s)] += sign * job.queued_work_s;
+  queued_work_s_ += sign * job.queued_work_s;
+}
+
+JobLane* PolicyScheduler::Impl::LaneOfJob(Job* job, LaneId lane) {
+  for (auto& it : job->lanes) {
+    if (it.lane == lane) {
+      return &it;
+    }
+  }
+  job->lanes.emplace_back();
+  job->lanes.back().lane = lane;
+  return &job->lanes.back();
+}
+
+// All waiting jobs age alike, so the order of two jobs does not change while
+// they wait, and a heap needs no update as time passes. The promise stands for
+// arrival and deadline slack in one.
+double PolicyScheduler::Impl::KeyOf(const Job& job) const {
+  return job.queued_work_s + settings_.aging * job.promise_by_s;
+}
+
+void PolicyScheduler::Impl::Push(JobIndex index, JobLane* job_lane) {
+  Job& job = jobs_[index];
+  Group& group = groups_[job.group];
+  if (group.lanes.size() < lanes_.size()) {
+    group.lanes.resize(lanes_.size());
+  }
+  GroupLane& group_lane = group.lanes[job_lane->lane];
+  group_lane.live += job_lane->ticket == kNoTicket ? 1 : 0;
+  next_ticket_ = std::max<uint32_t>(next_ticket_ + 1, kNoTicket + 1);
+  job_lane->ticket = next_ticket_;
+  job_lane->pushed_work_s = job.queued_work_s;
+  PushHeap(&group_lane.heap, {KeyOf(job), index, job_lane->ticket});
+  if (!group_lane.listed) {
+    group_lane.listed = true;
+    lanes_[job_lane->lane].groups.push_back(job.group);
+  }
+  Compact(job_lane->lane, &group_lane);
+}
+
+bool PolicyScheduler::Impl::IsValid(const HeapEntry& entry, LaneId lane) const {
+  const Job& job = jobs_[entry.job];
+  for (const auto& it : job.lanes) {
+    if (it.lane == lane) {
+      return it.ticket == entry.ticket;
+    }
+  }
+  return false;
+}
+
+void PolicyScheduler::Impl::Compact(LaneId lane, GroupLane* group_lane) {
+  auto& heap = group_lane->heap;
+  if (heap.size() <= 2 * group_lane->live + kStaleEntries) {
+    return;
+  }
+  std::erase_if(
+      heap, [this, lane](const HeapEntry& it) { return !IsValid(it, lane); });
+  std::make_heap(heap.begin(), heap.end(), std::greater<>());
+}
+
+void PolicyScheduler::Impl::DropInvalidTop(LaneId lane, GroupLane* group_lane) {
+  while (!group_lane->heap.empty() &&
+         !IsValid(group_lane->heap.front(), lane)) {
+    PopHeap(&group_lane->heap);
+  }
+}
+
+// The heap entry of a job's lane becomes stale.
+void PolicyScheduler::Impl::Invalidate(JobIndex index, JobLane* job_lane) {
+  if (job_lane->ticket == kNoTicket) {
+    return;
+  }
+  job_lane->ticket = kNoTicket;
+  GroupLane& group_lane = groups_[jobs_[index].group].lanes[job_lane->lane];
+  --group_lane.live;
+  Compact(job_lane->lane, &group_lane);
+}
+
+// --- Placement ---
+
+std::optional<Placement> PolicyScheduler::Impl::Next() {
+  if (queued_ == 0) {
+    return std::nullopt;
+  }
+  const double now = Now();
+  UpdatePeakCapacity(now);
+  ReleaseDelayed(now);
+  while (const auto candidate = Select(now)) {
+    if (auto placement = TryPlace(*candidate, now)) {
+      return placement;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<PolicyScheduler::Impl::Candidate> PolicyScheduler::Impl::Select(
+    double now) {
+  std::optional<Candidate> best;
+  for (LaneId i = 0; i < lanes_.size(); ++i) {
+    Lane& lane = lanes_[i];
+    if (lane.groups.empty()) {
+      lane.blocked_since_s = -1;
+      continue;
+    }
+    if (!pools_.HasFree(lane.pool)) {
+      CheckBlocked(&lane, now);
+      continue;
+    }
+    lane.blocked_since_s = -1;
+    if (lane.is_long && LongLimitReached(lane.slots)) {
+      continue;
+    }
+    SelectInLane(i, &best);
+  }
+  return best;
+}
+
+void PolicyScheduler::Impl::SelectInLane(LaneId id,
+                                         std::optional<Candidate>* best) {
+  auto& list = lanes_[id].groups;
+  for (size_t i = 0; i < list.size();) {
+    Group& group = groups_[list[i]];
+    GroupLane& group_lane = group.lanes[id];
+    DropInvalidTop(id, &group_lane);
+    if (group_lane.heap.empty()) {
+      group_lane.listed = false;
+      list[i] = list.back();
+      list.pop_back();
+      continue;
+    }
+    if (group.max_running == 0 || group.running < group.max_running) {
+      const Candidate candidate{id, list[i], OverShare(group),
+                                group_lane.heap.front().key};
+      if (!*best || std::pair(candidate.over_share, candidate.key) <
+                        std::pair((*best)->over_share, (*best)->key)) {
+        *best = candidate;
+      }
+    }
+    ++i;
+  }
+}
+
+// Teams over their share go after the others. Shares apply while there is a
+// backlog; without one they would only disturb the order of jobs.
+bool PolicyScheduler::Impl::OverShare(const Group& group) const {
+  const Environment& environment = environments_[group.environment];
+  if ((active_environments_ <= 1 && environment.active_shares <= group.share) ||
+      queued_work_s_ <
+          absl::ToDoubleSeconds(settings_.fair_share_backlog) * Capacity()) {
+    return false;
+  }
+  const double entitled = static_cast<double>(pools_.total_slots()) *
+                          group.share /
+                          (active_environments_ * environment.active_shares);
+  return group.running_slots >= entitled;
+}
+
+// Short tasks arriving now need about `rate` slots; twice the square root on
+// top covers the variation of a Poisson stream.
+bool PolicyScheduler::Impl::LongLimitReached(int slots) const {
+  const double total = pools_.total_slots();
+  const double rate = ShortWorkRate(Now());
+  const double closed =
+      std::clamp(rate + 2 * std::sqrt(rate), settings_.min_closed_share * total,
+                 settings_.max_closed_share * total);
+  return long_slots_ > 0 && long_slots_ + slots > total - closed;
+}
+
+// A lane of multi-slot tasks would starve if single slots were always taken as
+// soon as they become free.
+void PolicyScheduler::Impl::CheckBlocked(Lane* lane, double now) {
+  if (lane->blocked_since_s < 0) {
+    lane->blocked_since_s = now;
+  }
+  if (lane->slots > 1 && !pools_.reserved() &&
+      now - lane->blocked_since_s >=
+          absl::ToDoubleSeconds(settings_.reserve_after)) {
+    pools_.Reserve(lane->pool);
+    reserved_lane_ = static_cast<LaneId>(lane - lanes_.data());
+  }
+}
+
+std::optional<Placement> PolicyScheduler::Impl::TryPlace(
+    const Candidate& candidate,
+    double now) {
+  GroupLane& group_lane = groups_[candidate.group].lanes[candidate.lane];
+  const JobIndex index = group_lane.heap.front().job;
+  Job& job = jobs_[index];
+  JobLane* job_lane = LaneOfJob(&job, candidate.lane);
+  if (now > job.start_by_s) {
+    // The caller ends the job; until then its tasks count as queued.
+    for (auto& it : job.lanes) {
+      Invalidate(index, &it);
+    }
+    return std::nullopt;
+  }
+  if (!job.started && job.has_promise && CannotMeetPromise(job, now)) {
+    MarkHopeless(index);
+    return std::nullopt;
+  }
+  if (MoveToOtherLane(index, job_lane, now)) {
+    return std::nullopt;
+  }
+  const uint32_t number = job_lane->tasks.back();
+  const Task& task = job.tasks[number];
+  const PoolId pool = lanes_[candidate.lane].pool;
+  std::optional<UpstreamId> avoid;
+  if (task.avoids && pools_.HasOther(pool, task.upstream)) {
+    avoid = task.upstream;
+  }
+  const auto upstream = pools_.Choose(pool, job.domains, avoid);
+  job_lane->tasks.pop_back();
+  if (!upstream) {
+    Delay(index, number, now + kAvoidDelaySeconds);
+    AfterPop(index, candidate.lane);
+    return std::nullopt;
+  }
+  Place(index, number, *upstream, now);
+  AfterPop(index, candidate.lane);
+  return Placement{{job.id, number}, *upstream};
+}
+
+bool PolicyScheduler::Impl::CannotMeetPromise(const Job& job,
+                                              double now) const {
+  return now + job.longest_s / pools_.top_speed() > job.promise_by_s;
+}
+
+void PolicyScheduler::Impl::MarkHopeless(JobIndex index) {
+  Job& job = jobs_[index];
+  job.hopeless = true;
+  for (auto& it : job.lanes) {
+    Invalidate(index, &it);
+  }
+  hopeless_.emplace_back(index, job.generation);
+}
+
+// A kind can turn out to be long, or short, after its tasks were queued.
+bool PolicyScheduler::Impl::MoveToOtherLane(JobIndex index,
+                                            JobLane* job_lane,
+                                            double now) {
+  Job& job = jobs_[index];
+  const uint32_t number = job_lane->tasks.back();
+  const Task& task = job.tasks[number];
+  const Lane& lane = lanes_[job_lane->lane];
+  const bool is_long =
+      kinds_.IsLong(kinds_.Expected(task.kind, task.expected_s, now));
+  if (is_long == lane.is_long) {
+    return false;
+  }
+  const LaneId from = job_lane->lane;
+  job_lane->tasks.pop_back();
+  const LaneId to = FindLane(lane.pool, lane.slots, is_long);
+  JobLane* target = LaneOfJob(&job, to);
+  target->tasks.push_back(number);
+  if (target->ticket == kNoTicket) {
+    Push(index, target);
+  }
+  AfterPop(index, from);
+  return true;
+}
+
+void PolicyScheduler::Impl::Place(JobIndex index,
+                                  uint32_t number,
+                                  UpstreamId upstream,
+                                  double now) {
+  Job& job = jobs_[index];
+  Task& task = job.tasks[number];
+  Group& group = groups_[job.group];
+  CountWork(job, -1);
+  job.queued_work_s = std::max(0.0, job.queued_work_s - task.work_s());
+  AddQueued(&job, -1);
+  CountWork(job, 1);
+  unstarted_ -= job.started ? 0 : 1;
+  job.started = true;
+  ++job.running;
+  ++running_;
+  ++group.running;
+  group.running_slots += task.slots;
+  job.domains |= pools_.DomainBit(upstream);
+  task.state = TaskState::kRunning;
+  task.upstream = upstream;
+  task.avoids = false;
+  task.counted_long =
+      kinds_.IsLong(kinds_.Expected(task.kind, task.expected_s, now));
+  long_slots_ += task.counted_long ? task.slots : 0;
+  pools_.Occupy(upstream, task.slots);
+  kinds_.OnPlaced(task.kind, now);
+  if (pools_.reserved() && task.slots > 1) {
+    pools_.EndReservation();
+    reserved_lane_.reset();
+  }
+}
+
+// Restores the heaps after the next task of the job in `lane` was taken from
+// the job whose entry is the top.
+void PolicyScheduler::Impl::AfterPop(JobIndex index, LaneId lane) {
+  Job& job = jobs_[index];
+  for (auto& it : job.lanes) {
+    GroupLane& group_lane = groups_[job.group].lanes[it.lane];
+    if (it.lane == lane) {
+      if (it.tasks.empty()) {
+        PopHeap(&group_lane.heap);
+        --group_lane.live;
+        it.ticket = kNoTicket;
+      } else {
+        // The remaining work only falls here, so the entry stays the top.
+        HeapEntry& top = group_lane.heap.front();
+        top.key -= it.pushed_work_s - job.queued_work_s;
+        it.pushed_work_s = job.queued_work_s;
+      }
+    } else if (it.ticket != kNoTicket &&
+               job.queued_work_s < it.pushed_work_s / 2) {
+      Push(index, &it);
+    }
+  }
+}
+
+void PolicyScheduler::Impl::Enqueue(JobIndex index,
+                                    uint32_t number,
+                                    bool is_long) {
+  Job& job = jobs_[index];
+  const Task& task = job.tasks[number];
+  // The job has a lane of these slots, from which the task came.
+  LaneId lane = 0;
+  for (const auto& it : job.lanes) {
+    if (lanes_[it.lane].slots == task.slots) {
+      lane = FindLane(lanes_[it.lane].pool, task.slots, is_long);
+    }
+  }
+  JobLane* job_lane = LaneOfJob(&job, lane);
+  job_lane->tasks.push_back(number);
+  Push(index, job_lane);
+}
+
+void PolicyScheduler::Impl::Delay(JobIndex index, uint32_t number, double due) {
+  jobs_[index].tasks[number].state = TaskState::kDelayed;
+  PushHeap(&delayed_, {due, index, jobs_[index].generation, number});
+}
+
+void PolicyScheduler::Impl::ReleaseDelayed(double now) {
+  while (!delayed_.empty() && delayed_.front().due_s <= now) {
+    const DelayedTask entry = delayed_.front();
+    PopHeap(&delayed_);
+    Job& job = jobs_[entry.job];
+    if (!job.live || job.generation != entry.generation || job.removed ||
+        job.hopeless) {
+      continue;
+    }
+    Task& task = job.tasks[entry.task];
+    task.state = TaskState::kQueued;
+    Enqueue(entry.job, entry.task,
+            kinds_.IsLong(kinds_.Expected(task.kind, task.expected_s, now)));
+  }
+}
+
+void PolicyScheduler::Impl::ReleaseSlots(Job* job, Task* task, double run_s) {
+  Group& group = groups_[job->group];
+  --job->running;
+  --running_;
+  --group.running;
+  group.running_slots -= task->slots;
+  long_slots_ -= task->counted_long ? task->slots : 0;
+  pools_.Occupy(task->upstream, -task->slots);
+  kinds_.OnEnded(task->kind, run_s);
+}
+
+void PolicyScheduler::Impl::Requeue(TaskRef ref,
+                                    absl::Time not_before,
+                                    std::optional<UpstreamId> avoid) {
+  const auto it = job_ids_.find(ref.job);
+  if (it == job_ids_.end()) {
+    return;
+  }
+  const JobIndex index = it->second;
+  Job& job = jobs_[index];
+  if (ref.task >= job.tasks.size() ||
+      job.tasks[ref.task].state != TaskState::kRunning) {
+    return;
+  }
+  const double now = Now();
+  Task& task = job.tasks[ref.task];
+  ReleaseSlots(&job, &task, -1);
+  if (job.removed) {
+    task.state = TaskState::kEnded;
+    kinds_.Release(task.kind, now);
+    FreeIfDone(index);
+    return;
+  }
+  task.avoids = avoid.has_value();
+  task.upstream = avoid.value_or(0);
+  CountWork(job, -1);
+  job.queued_work_s += task.work_s();
+  AddQueued(&job, 1);
+  CountWork(job, 1);
+  Delay(index, ref.task, Seconds(not_before));
+}
+
+void PolicyScheduler::Impl::Finish(TaskRef ref,
+                                   std::optional<absl::Duration> run_time) {
+  const auto it = job_ids_.find(ref.job);
+  if (it == job_ids_.end()) {
+    return;
+  }
+  const JobIndex index = it->second;
+  Job& job = jobs_[index];
+  if (ref.task >= job.tasks.size() ||
+      job.tasks[ref.task].state != TaskState::kRunning) {
+    return;
+  }
+  Task& task = job.tasks[ref.task];
+  const double run_s =
+      run_time ? absl::ToDoubleSeconds(*run_time) * pools_.speed(task.upstream)
+               : -1;
+  ReleaseSlots(&job, &task, run_s);
+  task.state = TaskState::kEnded;
+  kinds_.Release(task.kind, Now());
+  FreeIfDone(index);
+}
+
+void PolicyScheduler::Impl::Remove(uint64_t id) {
+  const auto it = job_ids_.find(id);
+  if (it == job_ids_.end() || jobs_[it->second].removed) {
+    return;
+  }
+  const JobIndex index = it->second;
+  Job& job = jobs_[index];
+  const double now = Now();
+  for (auto& lane : job.lanes) {
+    Invalidate(index, &lane);
+  }
+  for (auto& task : job.tasks) {
+    if (task.state == TaskState::kQueued || task.state == TaskState::kDelayed) {
+      task.state = TaskState::kEnded;
+      kinds_.Release(task.kind, now);
+    }
+  }
+  CountWork(job, -1);
+  job.queued_work_s = 0;
+  AddQueued(&job, -static_cast<int>(job.queued));
+  job.removed = true;
+  FreeIfDone(index);
+}
+
+void PolicyScheduler::Impl::FreeIfDone(JobIndex index) {
+  Job& job = jobs_[index];
+  if (job.queued > 0 || job.running > 0) {
+    return;
+  }
+  unstarted_ -= job.started ? 0 : 1;
+  job_ids_.erase(job.id);
+  job = Job();
+  free_jobs_.push_back(index);
+  if (start_limits_.size() > 2 * unstarted_ + kStaleEntries) {
+    std::erase_if(start_limits_, [this](const HeapEntry& it) {
+      const Job& other = jobs_[it.job];
+      return other.generation != it.ticket || other.started;
+    });
+    std::make_heap(start_limits_.begin(), start_limits_.end(),
+                   std::greater<>());
+  }
+}
+
+std::vector<uint64_t> PolicyScheduler::Impl::TakeHopeless() {
+  const double now = Now();
+  while (!start_limits_.empty() && start_limits_.front().key < now) {
+    const HeapEntry entry = start_limits_.front();
+    PopHeap(&start_limits_);
+    const Job& job = jobs_[entry.job];
+    if (job.generation == entry.ticket && !job.started && !job.hopeless) {
+      MarkHopeless(entry.job);
+    }
+  }
+  std::vector<uint64_t> ids;
+  for (const auto& [index, generation] : hopeless_) {
+    if (jobs_[index].generation == generation) {
+      ids.push_back(jobs_[index].id);
+    }
+  }
+  hopeless_.clear();
+  return ids;
+}
+
+void PolicyScheduler::Impl::AddShortWork(double work_s, double now) {
+  const double mix_s = absl::ToDoubleSeconds(settings_.mix_time);
+  short_work_s_ *= std::exp((short_work_time_s_ - now) / mix_s);
+  short_work_time_s_ = now;
+  short_work_s_ += work_s;
+}
+
+double PolicyScheduler::Impl::ShortWorkRate(double now) const {
+  const double mix_s = absl::ToDoubleSeconds(settings_.mix_time);
+  return short_work_s_ * std::exp((short_work_time_s_ - now) / mix_s) / mix_s;
+}
+
+PolicyScheduler::PolicyScheduler(const Clock& clock,
+                                 const PolicySchedulerSettings& settings)
+    : impl_(std::make_unique<Impl>(clock, settings)) {}
+PolicyScheduler::~PolicyScheduler() = default;
+
+std::optional<Refusal> PolicyScheduler::Admit(const JobDemand& demand) {
+  return impl_->Admit(demand);
+}
+std::optional<Placement> PolicyScheduler::Next() {
+  return impl_->Next();
+}
+void PolicyScheduler::Requeue(TaskRef task,
+                              absl::Time not_before,
+                              std::optional<UpstreamId> avoid) {
+  impl_->Requeue(task, not_before, avoid);
+}
+void PolicyScheduler::Finish(TaskRef task,
+                             std::optional<absl::Duration> run_time) {
+  impl_->Finish(task, run_time);
+}
+void PolicyScheduler::Remove(uint64_t job) {
+  impl_->Remove(job);
+}
+std::vector<uint64_t> PolicyScheduler::TakeHopeless() {
+  return impl_->TakeHopeless();
+}
+void PolicyScheduler::SetUpstream(const UpstreamCapacity& capacity) {
+  impl_->SetUpstream(capacity);
+}
+void PolicyScheduler::RemoveUpstream(UpstreamId upstream) {
+  impl_->RemoveUpstream(upstream);
+}
+size_t PolicyScheduler::queued_tasks() const {
+  return impl_->queued_tasks();
+}
+size_t PolicyScheduler::running_tasks() const {
+  return impl_->running_tasks();
+}
+
+}  // namespace radishrail
--- /dev/null
+++ b/src/run_time_table.cc
@@ -0,0 +1,111 @@
+#include "run_time_table.h"
+
+#include <algorithm>
+
+namespace radishrail::internal {
+
+namespace {
+
+// Kind that all further kinds share once the table is full.
+constexpr KindId kSharedKind = 0;
+// A mean follows a changed run time within a few dozen tasks.
+constexpr uint32_t kMeanSamples = 32;
+constexpr double kMedianStep = 0.02;
+constexpr double kMinRunSeconds = 1e-4;
+constexpr double kSweepIntervalSeconds = 1;
+constexpr double kUnusedKindSeconds = 60;
+
+}  // namespace
+
+RunTimeTable::RunTimeTable(size_t max_kinds,
+                           double long_factor,
+                           double min_long_s)
+    : max_kinds_(max_kinds),
+      long_factor_(long_factor),
+      min_long_s_(min_long_s),
+      kinds_(1) {}
+
+KindId RunTimeTable::Acquire(uint32_t environment,
+                             std::string_view kind,
+                             double now_s) {
+  std::pair<uint32_t, std::string> key(environment, kind);
+  KindId id = kSharedKind;
+  if (const auto it = ids_.find(key); it != ids_.end()) {
+    id = it->second;
+  } else {
+    if (ids_.size() >= max_kinds_) {
+      Sweep(now_s);
+    }
+    if (ids_.size() < max_kinds_) {
+      if (unused_.empty()) {
+        id = static_cast<KindId>(kinds_.size());
+        kinds_.emplace_back();
+      } else {
+        id = unused_.back();
+        unused_.pop_back();
+        kinds_[id] = Kind();
+      }
+      kinds_[id].key = key;
+      ids_.emplace(std::move(key), id);
+    }
+  }
+  ++kinds_[id].references;
+  return id;
+}
+
+void RunTimeTable::Release(KindId kind, double now_s) {
+  --kinds_[kind].references;
+  kinds_[kind].last_used_s = now_s;
+}
+
+void RunTimeTable::Sweep(double now_s) {
+  if (now_s < last_sweep_s_ + kSweepIntervalSeconds) {
+    return;
+  }
+  last_sweep_s_ = now_s;
+  for (KindId id = 1; id < kinds_.size(); ++id) {
+    Kind& kind = kinds_[id];
+    if (kind.references == 0 && kind.last_used_s + kUnusedKindSeconds < now_s &&
+        ids_.erase(kind.key) > 0) {
+      unused_.push_back(id);
+    }
+  }
+}
+
+void RunTimeTable::OnPlaced(KindId id, double now_s) {
+  Kind& kind = kinds_[id];
+  if (kind.running++ == 0) {
+    kind.first_placed_s = now_s;
+  }
+}
+
+void RunTimeTable::OnEnded(KindId id, double run_s) {
+  Kind& kind = kinds_[id];
+  --kind.running;
+  if (run_s < 0) {
+    return;
+  }
+  run_s = std::max(run_s, kMinRunSeconds);
+  kind.completions = std::min(kind.completions + 1, kMeanSamples);
+  kind.mean_s += (run_s - kind.mean_s) / kind.completions;
+  mean_s_ += (run_s - mean_s_) * kMedianStep;
+  // Moves by a constant factor per sample, so that a few huge run times do not
+  // move it more than others.
+  median_s_ *= run_s > median_s_ ? 1 + kMedianStep : 1 / (1 + kMedianStep);
+}
+
+double RunTimeTable::Expected(KindId id,
+                              double declared_s,
+                              double now_s) const {
+  const Kind& kind = kinds_[id];
+  if (kind.completions > 0) {
+    return kind.mean_s;
+  }
+  const double hint =
+      declared_s > 0 ? declared_s : std::min(median_s_, mean_s_);
+  // A kind that has run for a while without a completion takes at least that
+  // long, whatever was declared.
+  return kind.running > 0 ? std::max(hint, now_s - kind.first_placed_s) : hint;
+}
+
+}  // namespace radishrail::internal
--- /dev/null
+++ b/src/upstream_pools.cc
@@ -0,0 +1,250 @@
+#include "upstream_pools.h"
+
+#include <algorithm>
+
+namespace radishrail::internal {
+
+UpstreamPools::UpstreamPools(SpillPolicy spill, double home_preference)
+    : spill_(spill), home_preference_(home_preference) {}
+
+void UpstreamPools::Set(const UpstreamCapacity& capacity) {
+  if (capacity.upstream >= upstreams_.size()) {
+    upstreams_.resize(capacity.upstream + 1);
+  }
+  Upstream& upstream = upstreams_[capacity.upstream];
+  if (upstream.accepting) {
+    total_slots_ -= upstream.slots;
+    capacity_ -= upstream.slots * upstream.speed;
+  }
+  const uint32_t domain = FindDomain(capacity.failure_domain);
+  const bool moved = !upstream.known || upstream.domain != domain ||
+                     upstream.upstream_class != capacity.upstream_class;
+  if (moved) {
+    // Leaves of the former class or failure domain stay behind without a value.
+    upstream.accepting = false;
+    Update(capacity.upstream);
+    upstream.pools.clear();
+  }
+  upstream.known = true;
+  upstream.accepting = capacity.accepting;
+  upstream.home = capacity.same_failure_domain;
+  upstream.domain = domain;
+  upstream.slots = std::max(capacity.slots, 0);
+  upstream.speed = std::max(capacity.speed, 1e-3);
+  upstream.upstream_class = capacity.upstream_class;
+  if (upstream.accepting) {
+    total_slots_ += upstream.slots;
+    capacity_ += upstream.slots * upstream.speed;
+    top_speed_ = std::max(top_speed_, upstream.speed);
+  }
+  largest_slots_ = std::max(largest_slots_, upstream.slots);
+  if (moved) {
+    if (std::find(known_classes_.begin(), known_classes_.end(),
+                  capacity.upstream_class) == known_classes_.end()) {
+      known_classes_.push_back(capacity.upstream_class);
+    }
+    for (PoolId i = 0; i < pools_.size(); ++i) {
+      Join(i, capacity.upstream);
+    }
+  }
+  Update(capacity.upstream);
+}
+
+void UpstreamPools::Remove(UpstreamId id) {
+  if (id >= upstreams_.size() || !upstreams_[id].known) {
+    return;
+  }
+  Upstream& upstream = upstreams_[id];
+  if (upstream.accepting) {
+    total_slots_ -= upstream.slots;
+    capacity_ -= upstream.slots * upstream.speed;
+  }
+  upstream.accepting = false;
+  upstream.slots = 0;
+  Update(id);
+}
+
+void UpstreamPools::Occupy(UpstreamId id, int slots) {
+  upstreams_[id].occupied += slots;
+  Update(id);
+}
+
+PoolId UpstreamPools::FindPool(const std::vector<std::string>& classes,
+                               int slots) {
+  for (PoolId i = 0; i < pools_.size(); ++i) {
+    if (pools_[i].slots == slots && pools_[i].classes == classes) {
+      return i;
+    }
+  }
+  const auto id = static_cast<PoolId>(pools_.size());
+  pools_.emplace_back();
+  pools_.back().classes = classes;
+  pools_.back().slots = slots;
+  for (UpstreamId i = 0; i < upstreams_.size(); ++i) {
+    if (upstreams_[i].known) {
+      Join(id, i);
+      Update(i);
+    }
+  }
+  return id;
+}
+
+bool UpstreamPools::HasFree(PoolId pool) const {
+  return pools_[pool].usable > 0;
+}
+
+std::optional<UpstreamId> UpstreamPools::Choose(
+    PoolId pool,
+    uint64_t used_domains,
+    std::optional<UpstreamId> avoid) {
+  std::optional<UpstreamId> best;
+  double best_score = -1;
+  auto& domains = pools_[pool].domains;
+  for (uint32_t i = 0; i < domains.size(); ++i) {
+    DomainTree& domain = domains[i];
+    if (domain.usable == 0) {
+      continue;
+    }
+    auto leaf = domain.tree.Best();
+    if (leaf && avoid && domain.upstreams[*leaf] == *avoid) {
+      leaf = domain.tree.BestExcept(*leaf);
+    }
+    if (!leaf) {
+      continue;
+    }
+    const double score =
+        Score(domain, i, domain.tree.Value(*leaf), used_domains);
+    if (score > best_score) {
+      best_score = score;
+      best = domain.upstreams[*leaf];
+    }
+  }
+  return best;
+}
+
+// Speeds are far below the steps between the ranks.
+double UpstreamPools::Score(const DomainTree& domain,
+                            uint32_t index,
+                            double speed,
+                            uint64_t used_domains) const {
+  constexpr double kRank = 1e6;
+  switch (spill_) {
+    case SpillPolicy::kFastest:
+      return domain.home ? speed * home_preference_ : speed;
+    case SpillPolicy::kHomeFirst:
+      return domain.home ? kRank + speed : speed;
+    case SpillPolicy::kFewestDomains:
+      if (domain.home) {
+        return 3 * kRank + speed;
+      }
+      // A new failure domain is the one with the most free upstreams, so that
+      // the rest of the job fits as well.
+      return (used_domains >> (index % 64) & 1) != 0 ? 2 * kRank + speed
+                                                     : domain.usable;
+  }
+  return speed;
+}
+
+bool UpstreamPools::HasOther(PoolId pool, UpstreamId avoid) const {
+  int capable = pools_[pool].capable;
+  if (avoid < upstreams_.size()) {
+    for (const auto& it : upstreams_[avoid].pools) {
+      capable -= it.pool == pool && it.capable ? 1 : 0;
+    }
+  }
+  return capable > 0;
+}
+
+void UpstreamPools::Reserve(PoolId pool) {
+  std::optional<UpstreamId> best;
+  for (UpstreamId i = 0; i < upstreams_.size(); ++i) {
+    const Upstream& it = upstreams_[i];
+    const bool capable = std::any_of(
+        it.pools.begin(), it.pools.end(), [pool](const Membership& membership) {
+          return membership.pool == pool && membership.capable;
+        });
+    if (capable &&
+        (!best || it.slots - it.occupied >
+                      upstreams_[*best].slots - upstreams_[*best].occupied)) {
+      best = i;
+    }
+  }
+  if (best) {
+    reserved_ = {pool, *best};
+    Update(*best);
+  }
+}
+
+void UpstreamPools::EndReservation() {
+  if (reserved_) {
+    const UpstreamId upstream = reserved_->upstream;
+    reserved_.reset();
+    Update(upstream);
+  }
+}
+
+bool UpstreamPools::Knows(const std::vector<std::string>& classes) const {
+  return std::any_of(
+      known_classes_.begin(), known_classes_.end(),
+      [&classes](const std::string& it) { return Matches(classes, it); });
+}
+
+bool UpstreamPools::Matches(const std::vector<std::string>& classes,
+                            const std::string& upstream_class) {
+  return classes.empty() || std::find(classes.begin(), classes.end(),
+                                      upstream_class) != classes.end();
+}
+
+uint32_t UpstreamPools::FindDomain(const std::string& name) {
+  const auto it = std::find(domains_.begin(), domains_.end(), name);
+  if (it != domains_.end()) {
+    return static_cast<uint32_t>(it - domains_.begin());
+  }
+  domains_.push_back(name);
+  return static_cast<uint32_t>(domains_.size() - 1);
+}
+
+void UpstreamPools::Join(PoolId id, UpstreamId upstream_id) {
+  Pool& pool = pools_[id];
+  Upstream& upstream = upstreams_[upstream_id];
+  if (!Matches(pool.classes, upstream.upstream_class)) {
+    return;
+  }
+  if (upstream.domain >= pool.domains.size()) {
+    pool.domains.resize(upstream.domain + 1);
+  }
+  DomainTree& domain = pool.domains[upstream.domain];
+  domain.home = upstream.home;
+  const uint32_t leaf = domain.tree.Add();
+  domain.upstreams.push_back(upstream_id);
+  upstream.pools.push_back({id, leaf, false});
+}
+
+double UpstreamPools::ValueIn(PoolId pool, UpstreamId id) const {
+  const Upstream& upstream = upstreams_[id];
+  if (!upstream.accepting ||
+      upstream.slots - upstream.occupied < pools_[pool].slots ||
+      (reserved_ && reserved_->upstream == id && reserved_->pool != pool)) {
+    return BestTree::kNone;
+  }
+  return upstream.speed;
+}
+
+void UpstreamPools::Update(UpstreamId id) {
+  Upstream& upstream = upstreams_[id];
+  for (auto& it : upstream.pools) {
+    Pool& pool = pools_[it.pool];
+    DomainTree& domain = pool.domains[upstream.domain];
+    const double value = ValueIn(it.pool, id);
+    const int change =
+        (value >= 0 ? 1 : 0) - (domain.tree.Value(it.leaf) >= 0 ? 1 : 0);
+    domain.tree.Set(it.leaf, value);
+    domain.usable += change;
+    pool.usable += change;
+    const bool capable = upstream.accepting && upstream.slots >= pool.slots;
+    pool.capable += (capable ? 1 : 0) - (it.capable ? 1 : 0);
+    it.capable = capable;
+  }
+}
+
+}  // namespace radishrail::internal
--- /dev/null
+++ b/src/upstream_pools.h
@@ -0,0 +1,118 @@
+#ifndef RADISHRAIL_SRC_UPSTREAM_POOLS_H_
+#define RADISHRAIL_SRC_UPSTREAM_POOLS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "best_tree.h"
+#include "radishrail/policy_scheduler.h"
+#include "radishrail/scheduler.h"
+
+namespace radishrail::internal {
+
+using PoolId = uint32_t;
+
+// The upstreams with their free slots. A pool selects among the upstreams of a
+// set of classes those that can take a task of a given number of slots.
+class UpstreamPools {
+ public:
+  UpstreamPools(SpillPolicy spill, double home_preference);
+
+  void Set(const UpstreamCapacity& capacity);
+  void Remove(UpstreamId upstream);
+  // Occupies or frees slots. Slots of a withdrawn upstream may stay occupied.
+  void Occupy(UpstreamId upstream, int slots);
+
+  // Finds or adds a pool; linear in upstreams when it is added.
+  PoolId FindPool(const std::vector<std::string>& classes, int slots);
+  bool HasFree(PoolId pool) const;
+  // Chooses an upstream for a task of a job that uses `used_domains` (bits of
+  // `DomainBit`) already.
+  std::optional<UpstreamId> Choose(PoolId pool,
+                                   uint64_t used_domains,
+                                   std::optional<UpstreamId> avoid);
+  // True if an upstream other than `avoid` has slots of the pool, free or not.
+  bool HasOther(PoolId pool, UpstreamId avoid) const;
+  uint64_t DomainBit(UpstreamId upstream) const {
+    return uint64_t{1} << (upstreams_[upstream].domain % 64);
+  }
+
+  // Keeps an upstream free for one pool until it can take a task of it.
+  void Reserve(PoolId pool);
+  void EndReservation();
+  bool reserved() const { return reserved_.has_value(); }
+
+  // True if an upstream of these classes was ever known.
+  bool Knows(const std::vector<std::string>& classes) const;
+  double speed(UpstreamId upstream) const { return upstreams_[upstream].speed; }
+  int largest_slots() const { return largest_slots_; }
+  int total_slots() const { return total_slots_; }
+  // Sum of slots times speed.
+  double capacity() const { return capacity_; }
+  // Highest speed among accepting upstreams known so far; 1 if none is.
+  double top_speed() const { return top_speed_; }
+
+ private:
+  struct Membership {
+    PoolId pool = 0;
+    uint32_t leaf = 0;
+    bool capable = false;  // has enough slots, free or not
+  };
+  struct Upstream {
+    bool known = false;
+    bool accepting = false;
+    bool home = false;
+    uint32_t domain = 0;
+    int slots = 0;
+    int occupied = 0;
+    double speed = 1;
+    std::string upstream_class;
+    std::vector<Membership> pools;
+  };
+  struct DomainTree {
+    bool home = false;
+    int usable = 0;  // upstreams with enough free slots
+    BestTree tree;
+    std::vector<UpstreamId> upstreams;  // by leaf
+  };
+  struct Pool {
+    std::vector<std::string> classes;
+    int slots = 1;
+    int usable = 0;   // upstreams with enough free slots
+    int capable = 0;  // upstreams with enough slots, free or not
+    std::vector<DomainTree> domains;
+  };
+
+  static bool Matches(const std::vector<std::string>& classes,
+                      const std::string& upstream_class);
+  uint32_t FindDomain(const std::string& name);
+  void Join(PoolId pool, UpstreamId upstream);
+  void Update(UpstreamId upstream);
+  double ValueIn(PoolId pool, UpstreamId upstream) const;
+  double Score(const DomainTree& domain,
+               uint32_t index,
+               double speed,
+               uint64_t used_domains) const;
+
+  const SpillPolicy spill_;
+  const double home_preference_;
+  std::vector<Upstream> upstreams_;
+  std::vector<Pool> pools_;
+  std::vector<std::string> domains_;
+  std::vector<std::string> known_classes_;
+  struct Reservation {
+    PoolId pool = 0;
+    UpstreamId upstream = 0;
+  };
+  std::optional<Reservation> reserved_;
+  int largest_slots_ = 0;
+  int total_slots_ = 0;
+  double capacity_ = 0;
+  double top_speed_ = 1;
+};
+
+}  // namespace radishrail::internal
+
+#endif  // RADISHRAIL_SRC_UPSTREAM_POOLS_H_
