Count running tasks as long when their kind turns out to be long

Ruled out: a flag per running task set at placement, since the class of a kind changes while its tasks run.

--- a/benchmark/policy_benchmark.cc
+++ b/benchmark/policy_benchmark.cc
@@ -25,6 +25,7 @@
   uint64_t seed = 1;
   double seconds = 120;
   int lending_ms = 20;
+  int daemons = 0;
   bool check = false;
 };
 
@@ -313,6 +314,8 @@
   app.add_option("--seed", options.seed, "seed of the workload");
   app.add_option("--seconds", options.seconds, "virtual length of a run");
   app.add_option("--lending-ms", options.lending_ms, "interval of lending");
+  app.add_option("--daemons", options.daemons,
+                 "number of daemons of equal size instead of the deployment's");
   app.add_flag("--check", options.check,
                "fail if a target that is met today is missed");
   CLI11_PARSE(app, argc, argv);
@@ -323,6 +326,9 @@
       deployment = it;
     }
   }
+  if (options.daemons > 0) {
+    deployment.daemon_weights.assign(options.daemons, 1);
+  }
   std::vector<std::string> policies = {"ideal"};
   if (options.policy == "all") {
     for (const char* it :
--- a/src/policy_scheduler.cc
+++ b/src/policy_scheduler.cc
@@ -64,7 +64,6 @@
   uint16_t slots = 1;
   TaskState state = TaskState::kQueued;
   bool avoids = false;
-  bool counted_long = false;
 
   double work_s() const { return static_cast<double>(expected_s) * slots; }
 };
@@ -225,6 +224,10 @@
   void ReleaseSlots(Job* job, Task* task, double run_s);
   void FreeIfDone(JobIndex index);
 
+  bool IsLong(const Task& task, double now) {
+    return kinds_.ClassifyLong(
+        task.kind, kinds_.Expected(task.kind, task.expected_s, now));
+  }
   void AddShortWork(double work_s, double now);
   double ShortWorkRate(double now) const;
 
@@ -252,7 +255,6 @@
 
   size_t queued_ = 0;
   size_t running_ = 0;
-  int long_slots_ = 0;
   double queued_work_s_ = 0;
   std::array<double, kWorkBuckets> work_by_size_{};
   // Short work that arrived, decaying with the time constant `mix_time`.
@@ -425,7 +427,7 @@
       pool = pools_.FindPool(demand.upstream_classes, spec.slots);
       pool_slots = spec.slots;
     }
-    const bool is_long = kinds_.IsLong(expected);
+    const bool is_long = kinds_.ClassifyLong(task.kind, expected);
     job->queued_work_s += task.work_s();
     job->longest_s = std::max(job->longest_s, expected);
     LaneOfJob(job, FindLane(pool, spec.slots, is_long))->tasks.push_back(i);
@@ -662,7 +664,8 @@
   const double closed =
       std::clamp(rate + 2 * std::sqrt(rate), settings_.min_closed_share * total,
                  settings_.max_closed_share * total);
-  return long_slots_ > 0 && long_slots_ + slots > total - closed;
+  return kinds_.long_slots() > 0 &&
+         kinds_.long_slots() + slots > total - closed;
 }
 
 // A lane of multi-slot tasks would starve if single slots were always taken as
@@ -741,8 +744,7 @@
   const uint32_t number = job_lane->tasks.back();
   const Task& task = job.tasks[number];
   const Lane& lane = lanes_[job_lane->lane];
-  const bool is_long =
-      kinds_.IsLong(kinds_.Expected(task.kind, task.expected_s, now));
+  const bool is_long = IsLong(task, now);
   if (is_long == lane.is_long) {
     return false;
   }
@@ -779,11 +781,8 @@
   task.state = TaskState::kRunning;
   task.upstream = upstream;
   task.avoids = false;
-  task.counted_long =
-      kinds_.IsLong(kinds_.Expected(task.kind, task.expected_s, now));
-  long_slots_ += task.counted_long ? task.slots : 0;
   pools_.Occupy(upstream, task.slots);
-  kinds_.OnPlaced(task.kind, now);
+  kinds_.OnPlaced(task.kind, task.slots, now);
   if (pools_.reserved() && task.slots > 1) {
     pools_.EndReservation();
     reserved_lane_.reset();
@@ -847,8 +846,7 @@
     }
     Task& task = job.tasks[entry.task];
     task.state = TaskState::kQueued;
-    Enqueue(entry.job, entry.task,
-            kinds_.IsLong(kinds_.Expected(task.kind, task.expected_s, now)));
+    Enqueue(entry.job, entry.task, IsLong(task, now));
   }
 }
 
@@ -858,9 +856,8 @@
   --running_;
   --group.running;
   group.running_slots -= task->slots;
-  long_slots_ -= task->counted_long ? task->slots : 0;
   pools_.Occupy(task->upstream, -task->slots);
-  kinds_.OnEnded(task->kind, run_s);
+  kinds_.OnEnded(task->kind, task->slots, run_s);
 }
 
 void PolicyScheduler::Impl::Requeue(TaskRef ref,
--- a/src/run_time_table.cc
+++ b/src/run_time_table.cc
@@ -72,16 +72,31 @@
   }
 }
 
-void RunTimeTable::OnPlaced(KindId id, double now_s) {
+bool RunTimeTable::ClassifyLong(KindId id, double expected_s) {
   Kind& kind = kinds_[id];
+  const bool is_long =
+      expected_s > min_long_s_ && expected_s > long_factor_ * median_s_;
+  if (is_long != kind.is_long) {
+    kind.is_long = is_long;
+    long_slots_ += is_long ? kind.running_slots : -kind.running_slots;
+  }
+  return is_long;
+}
+
+void RunTimeTable::OnPlaced(KindId id, int slots, double now_s) {
+  Kind& kind = kinds_[id];
+  kind.running_slots += slots;
+  long_slots_ += kind.is_long ? slots : 0;
   if (kind.running++ == 0) {
     kind.first_placed_s = now_s;
   }
 }
 
-void RunTimeTable::OnEnded(KindId id, double run_s) {
+void RunTimeTable::OnEnded(KindId id, int slots, double run_s) {
   Kind& kind = kinds_[id];
   --kind.running;
+  kind.running_slots -= slots;
+  long_slots_ -= kind.is_long ? slots : 0;
   if (run_s < 0) {
     return;
   }
--- a/src/run_time_table.h
+++ b/src/run_time_table.h
@@ -23,16 +23,18 @@
   KindId Acquire(uint32_t environment, std::string_view kind, double now_s);
   void Release(KindId kind, double now_s);
 
-  void OnPlaced(KindId kind, double now_s);
+  void OnPlaced(KindId kind, int slots, double now_s);
   // `run_s` is negative if the task did not complete.
-  void OnEnded(KindId kind, double run_s);
+  void OnEnded(KindId kind, int slots, double run_s);
 
   // Expected run time. The declared one counts only until the first task of
   // the kind has completed.
   double Expected(KindId kind, double declared_s, double now_s) const;
-  bool IsLong(double expected_s) const {
-    return expected_s > min_long_s_ && expected_s > long_factor_ * median_s_;
-  }
+  // Classifies a kind by the expected run time of one of its tasks. Tasks of
+  // the kind that are running change their class with it.
+  bool ClassifyLong(KindId kind, double expected_s);
+  // Slots that tasks of long kinds occupy.
+  int long_slots() const { return long_slots_; }
 
  private:
   struct Kind {
@@ -41,6 +43,8 @@
     double last_used_s = 0;
     uint32_t completions = 0;
     uint32_t running = 0;
+    int running_slots = 0;
+    bool is_long = false;
     uint32_t references = 0;
     std::pair<uint32_t, std::string> key;
   };
@@ -54,6 +58,7 @@
   std::vector<KindId> unused_;
   absl::flat_hash_map<std::pair<uint32_t, std::string>, KindId> ids_;
   double last_sweep_s_ = -1;
+  int long_slots_ = 0;
   // Running estimate of the median run time of completed tasks.
   double median_s_ = 0.2;
   double mean_s_ = 0.2;
