--- a/benchmark/policy_benchmark.cc
+++ b/benchmark/policy_benchmark.cc
@@ -12,6 +12,7 @@
 #include "baseline_schedulers.h"
 #include "driver.h"
 #include "ideal.h"
+#include "radishrail/policy_scheduler.h"
 #include "workload.h"
 
 namespace radishrail::benchmark {
@@ -24,6 +25,7 @@
   uint64_t seed = 1;
   double seconds = 120;
   int lending_ms = 20;
+  int daemons = 0;
   bool check = false;
 };
 
@@ -187,8 +189,12 @@
   }
 
   std::unique_ptr<Scheduler> MakeScheduler(const std::string& policy,
-                                           const Clock& /*clock*/,
+                                           const Clock& clock,
                                            int daemon) const {
+    if (policy == "radishrail") {
+      return std::make_unique<PolicyScheduler>(clock,
+                                               PolicySchedulerSettings());
+    }
     const BaselineChoice choice = policy == "random" ? BaselineChoice::kRandom
                                   : policy == "round_robin"
                                       ? BaselineChoice::kRoundRobin
@@ -247,7 +253,7 @@
   for (size_t i = 0; i < kRowCount; ++i) {
     absl::PrintF(
         "%-40s %8s", kRows[i].name,
-        absl::StrFormat(kRows[i].at_most ? "<= %g" : ">= %g", kRows[i].target));
+        absl::StrCat(kRows[i].at_most ? "<= " : ">= ", kRows[i].target));
     for (size_t n = 0; n < policies.size(); ++n) {
       absl::PrintF(" %12.3f", reports[n].rows[i]);
     }
@@ -308,6 +314,8 @@
   app.add_option("--seed", options.seed, "seed of the workload");
   app.add_option("--seconds", options.seconds, "virtual length of a run");
   app.add_option("--lending-ms", options.lending_ms, "interval of lending");
+  app.add_option("--daemons", options.daemons,
+                 "number of daemons of equal size instead of the deployment's");
   app.add_flag("--check", options.check,
                "fail if a target that is met today is missed");
   CLI11_PARSE(app, argc, argv);
@@ -318,6 +326,9 @@
       deployment = it;
     }
   }
+  if (options.daemons > 0) {
+    deployment.daemon_weights.assign(options.daemons, 1);
+  }
   std::vector<std::string> policies = {"ideal"};
   if (options.policy == "all") {
     for (const char* it :
