--- /dev/null
+++ b/src/daemon/main.cc
@@ -0,0 +1,88 @@
+#include <signal.h>
+
+#include <iostream>
+#include <string>
+
+#include "CLI/CLI.hpp"
+#include "daemon.h"
+#include "radishrail/log.h"
+#include "radishrail/settings.h"
+
+namespace radishrail {
+namespace {
+
+enum ExitCode { kExitOk = 0, kExitFailed = 1, kExitUsage = 2 };
+
+// Time for the last responses to leave after the node is drained.
+constexpr absl::Duration kStopTimeout = absl::Seconds(5);
+constexpr absl::Duration kDrainSlack = absl::Seconds(10);
+
+// Blocks the termination signals in all threads; `sigwait` receives them.
+sigset_t BlockSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+int RunDaemon(const Settings& settings, const sigset_t& signals) {
+  Daemon daemon(settings);
+  Error error;
+  if (!daemon.Start(&error)) {
+    LogFailure("the daemon cannot start", error);
+    return kExitFailed;
+  }
+  // An operator can start the drain over HTTP as well; it ends the process in
+  // the same way.
+  constexpr timespec kPoll = {0, 100'000'000};
+  while (!daemon.WaitUntilDrained(absl::ZeroDuration())) {
+    if (sigtimedwait(&signals, nullptr, &kPoll) > 0) {
+      Log(LogLevel::kInfo, "graceful shutdown starts");
+      daemon.BeginDrain();
+      daemon.WaitUntilDrained(settings.drain_balancer_delay +
+                              settings.drain_timeout + kDrainSlack);
+      break;
+    }
+  }
+  daemon.Stop(kStopTimeout);
+  Log(LogLevel::kInfo, "stopped");
+  return kExitOk;
+}
+
+int Main(int argc, char** argv) {
+  CLI::App app(
+      "radishraild: dispatches parallel jobs of short tasks to upstreams.\n"
+      "SIGTERM and SIGINT start a graceful shutdown.");
+  std::string path;
+  app.add_option("--config", path, "settings file (INI)")->required();
+  app.set_version_flag("--version", RADISHRAIL_VERSION);
+  app.footer(
+      "Example:\n"
+      "  radishraild --config /etc/radishrail/daemon.ini\n"
+      "Exit codes: 0 stopped gracefully, 1 failed to start, 2 usage or "
+      "settings.");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& ec) {
+    return app.exit(ec) == 0 ? kExitOk : kExitUsage;
+  }
+  Error error;
+  const auto settings = LoadSettings(path, &error);
+  if (!settings.has_value()) {
+    std::cerr << "radishraild: " << error.ToString() << "\n";
+    return kExitUsage;
+  }
+  const sigset_t signals = BlockSignals();
+  InitLogging(settings->log_level, settings->vm);
+  return RunDaemon(*settings, signals);
+}
+
+}  // namespace
+}  // namespace radishrail
+
+int main(int argc, char** argv) {
+  return radishrail::Main(argc, argv);
+}
--- a/src/platform_store.cc
+++ b/src/platform_store.cc
@@ -96,7 +96,7 @@
   info.address = *std::move(address);
   info.failure_domain = *std::move(failure_domain);
   info.state = *state == "live" ? VmState::kLive : VmState::kLeaving;
-  info.upstream_class = StringAt(object, "class").value_or("");
+  info.upstream_class = StringAt(object, "upstream_class").value_or("");
   info.slots = static_cast<int>(IntegerAt(object, "slots").value_or(0));
   return info;
 }
--- a/tests/platform_store_test.cc
+++ b/tests/platform_store_test.cc
@@ -168,7 +168,7 @@
 TEST_F(PlatformStoreTest, ListVms_SetByAdmin_ReturnsAllFields) {
   Post("/admin/vms", R"([{"vm": "u1", "role": "upstream",
       "address": "127.0.0.1:7500", "failure_domain": "yard-a",
-      "state": "leaving", "class": "runner", "slots": 8}])");
+      "state": "leaving", "upstream_class": "runner", "slots": 8}])");
   Pending<ReadResult<std::vector<VmInfo>>> pending;
   store_->ListVms(Into(pending));
   const auto vms = pending.Wait().value;
