Test that a hanging upstream is ejected through the job table

Cause: no test covered the learned run time of a kind on its way from the job table to the registry. Change: one test; the scope class of the job table is named CallScope. Conclusion: timeouts far beyond the learned run time eject an upstream.

--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -196,7 +196,7 @@
   bool Knows(std::string_view key) const { return FindRecord(key) != nullptr; }
 
   bool Join(const JobSpec& job, AnswerCallback callback) {
-    const Turn turn(*this);
+    const CallScope scope(*this);
     KeyRecord* record = FindRecord(job.key);
     if (record == nullptr) {
       return false;
@@ -222,7 +222,7 @@
   void Accept(JobSpec spec,
               std::shared_ptr<const VersionedDocument> document,
               AnswerCallback callback) {
-    const Turn turn(*this);
+    const CallScope scope(*this);
     if (Knows(spec.key)) {
       Join(spec, std::move(callback));
       return;
@@ -251,7 +251,7 @@
   }
 
   bool Cancel(std::string_view key) {
-    const Turn turn(*this);
+    const CallScope scope(*this);
     const KeyRecord* record = FindRecord(key);
     if (record == nullptr) {
       return false;
@@ -270,7 +270,7 @@
   }
 
   void Tick() {
-    const Turn turn(*this);
+    const CallScope scope(*this);
     ExpireJobs();
     RefuseHopeless();
     PlaceTasks();
@@ -380,10 +380,10 @@
 
   // One call from outside. The outermost one delivers answers when the table
   // is consistent, so that a callback may call the controller again.
-  class Turn {
+  class CallScope {
    public:
-    explicit Turn(Impl& impl) : impl_(impl) { ++impl_.depth_; }
-    ~Turn() {
+    explicit CallScope(Impl& impl) : impl_(impl) { ++impl_.depth_; }
+    ~CallScope() {
       while (impl_.depth_ == 1 && !impl_.deliveries_.empty()) {
         const Delivery next = std::move(impl_.deliveries_.front());
         impl_.deliveries_.pop_front();
@@ -391,8 +391,8 @@
       }
       --impl_.depth_;
     }
-    Turn(const Turn&) = delete;
-    Turn& operator=(const Turn&) = delete;
+    CallScope(const CallScope&) = delete;
+    CallScope& operator=(const CallScope&) = delete;
 
    private:
     Impl& impl_;
@@ -665,7 +665,7 @@
                 int attempt,
                 UpstreamId upstream,
                 TaskResult result) {
-    const Turn turn(*this);
+    const CallScope scope(*this);
     Job* job = FindJob(ref.job);
     if (job == nullptr || job->tasks[ref.task].status != TaskStatus::kRunning ||
         job->tasks[ref.task].attempts != attempt) {
--- a/src/upstream_registry.cc
+++ b/src/upstream_registry.cc
@@ -34,7 +34,7 @@
 constexpr double kPrevailingExcess = 0.3;
 // Probability below which a run of failures is not taken for chance, given the
 // failure rate of the other upstreams.
-constexpr double kChance = 1e-4;
+constexpr double kMaxChanceProbability = 1e-4;
 constexpr double kMaxOthersRate = 0.95;
 
 constexpr int kProbationSuccesses = 3;
@@ -405,7 +405,8 @@
     // If tasks fail everywhere, a run of failures must be longer to stand out.
     double needed = settings_.ejection_failures;
     if (others > 0) {
-      needed = std::max(needed, std::log(kChance) / std::log(others));
+      needed =
+          std::max(needed, std::log(kMaxChanceProbability) / std::log(others));
     }
     return entry.consecutive_failures >= needed ||
            (entry.results >= kMinResultsForRate &&
--- a/tests/job_controller_test.cc
+++ b/tests/job_controller_test.cc
@@ -368,7 +368,7 @@
   EXPECT_EQ(client_.calls.size(), 2u);
 }
 
-TEST_F(JobControllerTest, LateResult_ThatAnnouncesLeaving_IsHeeded) {
+TEST_F(JobControllerTest, LateResult_ThatAnnouncesLeaving_MarksUpstream) {
   Submit(TestJob("k", 1));
   jobs_.Tick();
   Advance(absl::Seconds(5));
@@ -378,6 +378,26 @@
   EXPECT_EQ(upstreams_.FindByVm("w0")->state, UpstreamState::kLeaving);
 }
 
+// Guards against a worker that hangs and keeps its share of the tasks: its
+// timeouts count against the learned run time of the kind.
+TEST_F(JobControllerTest, Timeouts_FarBeyondLearnedRunTime_EjectUpstream) {
+  for (size_t i = 0; i < 10; ++i) {
+    Submit(TestJob("warm" + std::to_string(i), 1));
+    jobs_.Tick();
+    Respond(i, Done());  // 100 ms
+  }
+  Submit(TestJob("k", 16));
+  jobs_.Tick();
+  for (size_t i = 10; i < client_.calls.size(); ++i) {
+    if (client_.calls[i].start.address == "127.0.0.1:1") {
+      Respond(i, Done());
+    }
+  }
+  Advance(absl::Seconds(5));
+  EXPECT_EQ(upstreams_.FindByVm("w0")->state, UpstreamState::kEjected);
+  EXPECT_EQ(timeline_.Select("", {}).back().type, EventType::kUpstreamEjected);
+}
+
 // Guards against keys that are forgotten while an owner would still accept
 // them, and against unbounded work in one Tick.
 TEST_F(JobControllerTest, Keys_AreForgottenAfterWindowInBoundedSteps) {
