Name document objects by version and hash of the body

Cause: the controller relied on the object store keeping the first body written under a name. The stand-in and its client replace objects, as PUT does, so a put that lost a race could overwrite the body of the accepted version. Ruled out: reserving a version number by a transaction of its own, which doubles the writes of a change; checking a hash under a fixed name, which detects the overwritten body but cannot restore it. Change: objects are named environment/<name>/<version>/<hash>; the rows carry the hash, and bodies are checked against it. The fake store replaces objects. The test of an object left by an uncommitted change is replaced, since names no longer collide, by one in which both daemons of a race write an object before the first transaction; a test for a damaged body is new. Conclusion: an accepted version keeps its body whatever is written late.

--- a/src/document_change.cc
+++ b/src/document_change.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "xxhash.h"
 
 namespace radishrail::internal {
 
@@ -27,8 +26,7 @@
   if (stage == Stage::kProduction) {
     return absl::StrCat("promote ", version, " replacing ", replaces);
   }
-  return absl::StrCat(
-      "put ", absl::Hex(XXH64(body.data(), body.size(), 0), absl::kZeroPad16));
+  return absl::StrCat("put ", BodyHash(body));
 }
 
 PendingChange::PendingChange(Random& random,
@@ -132,8 +130,9 @@
     return;
   }
   base_trial_ = trial.version;
-  version_ = std::max(version_, environment_.last_version) + 1;
+  version_ = environment_.last_version + 1;
   body_ = request_.body;
+  body_hash_ = BodyHash(body_);
   PutBody();
 }
 
@@ -158,8 +157,10 @@
     return;
   }
   const auto& candidates = environment_.candidates;
-  if (std::find(candidates.begin(), candidates.end(), request_.version) ==
-      candidates.end()) {
+  const auto candidate = std::find_if(
+      candidates.begin(), candidates.end(),
+      [&](const Candidate& it) { return it.version == request_.version; });
+  if (candidate == candidates.end()) {
     Reject(ErrorCode::kNotFound,
            absl::StrCat("version ", request_.version,
                         " is not a trial version above production version ",
@@ -168,62 +169,64 @@
     return;
   }
   version_ = request_.version;
+  body_hash_ = candidate->body_hash;
   GetBody();
 }
 
-// Relies on the object store keeping the first body written under a name: the
-// body of an accepted version can then never change, whoever writes late.
+// Comes before the transaction: an accepted version always has its body.
 void PendingChange::PutBody() {
-  store_.PutObject(ObjectName(request_.environment, version_), request_.body,
-                   [weak = weak_from_this()](std::optional<std::string> stored,
-                                             const Error& error) {
-                     const auto self = weak.lock();
-                     if (self == nullptr) {
-                       return;
-                     }
-                     if (!stored.has_value()) {
-                       self->ResolveLater(error);
-                     } else if (*stored != self->request_.body) {
-                       // A change that was not committed left this object.
-                       ++self->version_;
-                       self->PutBody();
-                     } else {
-                       self->Commit();
-                     }
-                   });
+  store_.PutObject(
+      ObjectName(request_.environment, version_, body_hash_), body_,
+      [weak = weak_from_this()](const std::optional<std::string>& stored,
+                                const Error& error) {
+        const auto self = weak.lock();
+        if (self == nullptr) {
+          return;
+        }
+        if (stored.has_value()) {
+          self->Commit();
+        } else {
+          self->ResolveLater(error);
+        }
+      });
 }
 
 // A version whose body cannot be read must not become effective.
 void PendingChange::GetBody() {
-  store_.GetObject(ObjectName(request_.environment, version_),
-                   [weak = weak_from_this()](std::optional<std::string> body,
-                                             const Error& error) {
-                     const auto self = weak.lock();
-                     if (self == nullptr) {
-                       return;
-                     }
-                     if (!body.has_value()) {
-                       self->ResolveLater(error);
-                       return;
-                     }
-                     self->body_ = *std::move(body);
-                     self->Commit();
-                   });
+  store_.GetObject(
+      ObjectName(request_.environment, version_, body_hash_),
+      [weak = weak_from_this()](std::optional<std::string> body,
+                                const Error& error) {
+        const auto self = weak.lock();
+        if (self == nullptr) {
+          return;
+        }
+        if (!body.has_value()) {
+          self->ResolveLater(error);
+        } else if (BodyHash(*body) != self->body_hash_) {
+          self->FinishUnknown({ErrorCode::kProtocol, Step::kPlatformRead,
+                               "platform", "the stored body is damaged"});
+        } else {
+          self->body_ = *std::move(body);
+          self->Commit();
+        }
+      });
 }
 
 void PendingChange::Commit() {
   EnvironmentRow next = environment_;
-  const StageState state{version_, revision_, request_.operation};
+  const StageState state{version_, revision_, body_hash_, request_.operation};
   if (request_.stage == Stage::kTrial) {
     next.trial = state;
     next.last_version = version_;
-    next.candidates.push_back(version_);
+    next.candidates.push_back({version_, body_hash_});
     if (next.candidates.size() > kMaxCandidates) {
       next.candidates.erase(next.candidates.begin());
     }
   } else {
     next.production = state;
-    std::erase_if(next.candidates, [&](int64_t it) { return it <= version_; });
+    std::erase_if(next.candidates,
+                  [&](const Candidate& it) { return it.version <= version_; });
   }
   next.revision = revision_;
   next.operation = request_.operation;
@@ -243,8 +246,8 @@
       {OperationKey(request_.operation), EncodeOperation(outcome)},
       {EnvironmentKey(request_.environment), EncodeEnvironment(next)},
       {kHeadKey, EncodeHead(revision_)},
-      {LogKey(revision_),
-       EncodeLog({request_.environment, request_.stage, version_})}};
+      {LogKey(revision_), EncodeLog({request_.environment, request_.stage,
+                                     version_, body_hash_})}};
   if (revision_ > kKeptLogRows) {
     transaction.writes.push_back(
         {LogKey(revision_ - kKeptLogRows), std::nullopt});
--- a/src/document_change.h
+++ b/src/document_change.h
@@ -82,6 +82,7 @@
   std::optional<int64_t> base_trial_;
   int64_t version_ = 0;
   std::string body_;
+  std::string body_hash_;
   // A transaction that contains this change may have been or may be committed.
   bool in_doubt_ = false;
   int conflicts_ = 0;
--- a/src/document_rows.cc
+++ b/src/document_rows.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "name_table.h"
+#include "xxhash.h"
 
 namespace radishrail::internal {
 
@@ -45,11 +46,13 @@
 Json StageToJson(const StageState& stage) {
   return {{"version", stage.version},
           {"revision", stage.revision},
+          {"body_hash", stage.body_hash},
           {"operation", stage.operation}};
 }
 
 StageState StageFromJson(const Json& json) {
   return {json.at("version").get<int64_t>(), json.at("revision").get<int64_t>(),
+          json.at("body_hash").get<std::string>(),
           json.at("operation").get<std::string>()};
 }
 
@@ -67,9 +70,17 @@
   return absl::StrCat("operation/", std::string(operation));
 }
 
-std::string ObjectName(std::string_view environment, int64_t version) {
+std::string ObjectName(std::string_view environment,
+                       int64_t version,
+                       std::string_view body_hash) {
   return absl::StrCat(kEnvironmentPrefix, std::string(environment), "/",
-                      version);
+                      version, "/", std::string(body_hash));
+}
+
+std::string BodyHash(std::string_view body) {
+  const XXH128_hash_t hash = XXH3_128bits(body.data(), body.size());
+  return absl::StrCat(absl::Hex(hash.high64, absl::kZeroPad16),
+                      absl::Hex(hash.low64, absl::kZeroPad16));
 }
 
 bool IsEnvironmentName(std::string_view text) {
@@ -91,12 +102,17 @@
 }
 
 std::string EncodeEnvironment(const EnvironmentRow& row) {
+  Json candidates = Json::array();
+  for (const auto& it : row.candidates) {
+    candidates.push_back(
+        {{"version", it.version}, {"body_hash", it.body_hash}});
+  }
   return Json{{"trial", StageToJson(row.trial)},
               {"production", StageToJson(row.production)},
               {"last_version", row.last_version},
               {"revision", row.revision},
               {"operation", row.operation},
-              {"candidates", row.candidates}}
+              {"candidates", std::move(candidates)}}
       .dump();
 }
 
@@ -108,7 +124,10 @@
     row.last_version = json.at("last_version").get<int64_t>();
     row.revision = json.at("revision").get<int64_t>();
     row.operation = json.at("operation").get<std::string>();
-    row.candidates = json.at("candidates").get<std::vector<int64_t>>();
+    for (const auto& it : json.at("candidates")) {
+      row.candidates.push_back({it.at("version").get<int64_t>(),
+                                it.at("body_hash").get<std::string>()});
+    }
     return row;
   });
 }
@@ -116,7 +135,8 @@
 std::string EncodeLog(const LogRow& row) {
   return Json{{"environment", row.environment},
               {"stage", StageName(row.stage)},
-              {"version", row.version}}
+              {"version", row.version},
+              {"body_hash", row.body_hash}}
       .dump();
 }
 
@@ -126,6 +146,7 @@
     row.environment = json.at("environment").get<std::string>();
     row.stage = StageFromName(json.at("stage").get<std::string>()).value();
     row.version = json.at("version").get<int64_t>();
+    row.body_hash = json.at("body_hash").get<std::string>();
     return row;
   });
 }
--- a/src/document_rows.h
+++ b/src/document_rows.h
@@ -18,7 +18,13 @@
 std::string EnvironmentKey(std::string_view environment);
 std::string LogKey(int64_t revision);
 std::string OperationKey(std::string_view operation);
-std::string ObjectName(std::string_view environment, int64_t version);
+// The name contains the hash of the body: whoever writes an object again, also
+// late, writes the same body.
+std::string ObjectName(std::string_view environment,
+                       int64_t version,
+                       std::string_view body_hash);
+// 32 hexadecimal digits.
+std::string BodyHash(std::string_view body);
 
 // 1 to 64 characters of [A-Za-z0-9_-].
 bool IsEnvironmentName(std::string_view text);
@@ -29,9 +35,16 @@
 struct StageState {
   int64_t version = 0;
   int64_t revision = 0;
+  std::string body_hash;
   std::string operation;
 };
 
+// An accepted trial version that can be promoted.
+struct Candidate {
+  int64_t version = 0;
+  std::string body_hash;
+};
+
 // Row `environment/<name>`.
 struct EnvironmentRow {
   StageState trial;
@@ -41,7 +54,7 @@
   std::string operation;  // of the last change
   // Accepted trial versions above the production version, ascending; the
   // newest `kMaxCandidates`.
-  std::vector<int64_t> candidates;
+  std::vector<Candidate> candidates;
 };
 
 // Bounds the size of an environment row.
@@ -52,6 +65,7 @@
   std::string environment;
   Stage stage = Stage::kTrial;
   int64_t version = 0;
+  std::string body_hash;
 };
 
 enum class OperationState { kAccepted, kRejected, kMaxValue = kRejected };
--- a/src/document_sync.cc
+++ b/src/document_sync.cc
@@ -69,8 +69,9 @@
   pending_ = changes_.size();
   log_has_gap_ = false;
   for (size_t i = 0; i < changes_.size(); ++i) {
-    changes_[i].revision = first + static_cast<int64_t>(i);
-    store_.Read(LogKey(changes_[i].revision),
+    const int64_t revision = first + static_cast<int64_t>(i);
+    changes_[i].change.revision = revision;
+    store_.Read(LogKey(revision),
                 [weak = weak_from_this(), i](std::optional<Row> row,
                                              const Error& error) {
                   const auto self = weak.lock();
@@ -94,9 +95,11 @@
   }
   // Old log rows are deleted.
   log_has_gap_ |= row.version == 0;
-  changes_[index].environment = log->environment;
-  changes_[index].stage = std::string(StageName(log->stage));
-  changes_[index].version = log->version;
+  NewChange& entry = changes_[index];
+  entry.change.environment = log->environment;
+  entry.change.stage = std::string(StageName(log->stage));
+  entry.change.version = log->version;
+  entry.body_hash = log->body_hash;
   if (--pending_ > 0) {
     return;
   }
@@ -139,17 +142,18 @@
       const StageState& state =
           stage == Stage::kTrial ? decoded->trial : decoded->production;
       if (state.version > 0) {
-        changes_.push_back({state.revision,
-                            environment,
-                            std::string(StageName(stage)),
-                            state.version,
-                            {}});
+        changes_.push_back({{state.revision,
+                             environment,
+                             std::string(StageName(stage)),
+                             state.version,
+                             {}},
+                            state.body_hash});
       }
     }
   }
   std::sort(changes_.begin(), changes_.end(),
-            [](const DocumentChange& a, const DocumentChange& b) {
-              return a.revision < b.revision;
+            [](const NewChange& a, const NewChange& b) {
+              return a.change.revision < b.change.revision;
             });
   FetchBodies();
 }
@@ -157,11 +161,13 @@
 void DocumentSync::FetchBodies() {
   // Only the last change of each stage counts, and only if the table lacks it.
   std::set<std::pair<std::string, std::string>> seen;
-  std::vector<DocumentChange> needed;
+  std::vector<NewChange> needed;
   for (auto it = changes_.rbegin(); it != changes_.rend(); ++it) {
-    const std::optional<Stage> stage = StageFromName(it->stage);
-    if (stage.has_value() && seen.emplace(it->environment, it->stage).second &&
-        table_.Version(it->environment, *stage) < it->version) {
+    const DocumentChange& change = it->change;
+    const std::optional<Stage> stage = StageFromName(change.stage);
+    if (stage.has_value() &&
+        seen.emplace(change.environment, change.stage).second &&
+        table_.Version(change.environment, *stage) < change.version) {
       needed.push_back(std::move(*it));
     }
   }
@@ -175,37 +181,50 @@
 void DocumentSync::ContinueFetch() {
   while (next_fetch_ < changes_.size() && pending_ < kMaxParallelReads) {
     const size_t i = next_fetch_++;
-    DocumentChange& change = changes_[i];
+    DocumentChange& change = changes_[i].change;
     if (const std::string* body =
             table_.FindBody(change.environment, change.version)) {
       change.body = *body;
       continue;
     }
     ++pending_;
-    store_.GetObject(ObjectName(change.environment, change.version),
-                     [weak = weak_from_this(), i](
-                         std::optional<std::string> body, const Error& error) {
-                       const auto self = weak.lock();
-                       if (self == nullptr || self->finished_) {
-                         return;
-                       }
-                       if (!body.has_value()) {
-                         self->Finish(error);
-                         return;
-                       }
-                       self->changes_[i].body = *std::move(body);
-                       --self->pending_;
-                       self->ContinueFetch();
-                     });
+    store_.GetObject(
+        ObjectName(change.environment, change.version, changes_[i].body_hash),
+        [weak = weak_from_this(), i](std::optional<std::string> body,
+                                     const Error& error) {
+          const auto self = weak.lock();
+          if (self == nullptr || self->finished_) {
+            return;
+          }
+          if (body.has_value()) {
+            self->OnBody(i, *std::move(body));
+          } else {
+            self->Finish(error);
+          }
+        });
   }
   if (next_fetch_ == changes_.size() && pending_ == 0) {
     Apply();
   }
 }
 
+void DocumentSync::OnBody(size_t index, std::string body) {
+  NewChange& entry = changes_[index];
+  if (BodyHash(body) != entry.body_hash) {
+    Finish({ErrorCode::kProtocol, Step::kPlatformRead, "platform",
+            absl::StrCat("the stored body of environment ",
+                         entry.change.environment, ", version ",
+                         entry.change.version, " is damaged")});
+    return;
+  }
+  entry.change.body = std::move(body);
+  --pending_;
+  ContinueFetch();
+}
+
 void DocumentSync::Apply() {
   for (const auto& it : changes_) {
-    table_.Apply(it);
+    table_.Apply(it.change);
   }
   table_.RaiseRevision(target_);
   changes_.clear();
--- a/src/document_sync.h
+++ b/src/document_sync.h
@@ -25,17 +25,20 @@
   void Start();
 
  private:
+  struct NewChange {
+    DocumentChange change;
+    std::string body_hash;
+  };
+
   void OnHead(int64_t revision);
   void ReadLog();
   void OnLogRow(size_t index, const Row& row);
   void ListEnvironments();
   void OnEnvironments(const std::vector<Row>& rows);
-  void AddStage(const std::string& environment,
-                const std::string& stage,
-                int64_t version,
-                int64_t revision);
+
   void FetchBodies();
   void ContinueFetch();
+  void OnBody(size_t index, std::string body);
   void Apply();
   // Reports once; later callbacks find the sync finished.
   void Finish(const Error& error);
@@ -46,7 +49,7 @@
   int64_t head_ = 0;
   // Revision of the table once `changes_` are applied.
   int64_t target_ = 0;
-  std::vector<DocumentChange> changes_;
+  std::vector<NewChange> changes_;
   size_t pending_ = 0;
   size_t next_fetch_ = 0;
   bool log_has_gap_ = false;
--- a/tests/document_controller_test.cc
+++ b/tests/document_controller_test.cc
@@ -375,14 +375,39 @@
             ChangeOutcome::kAccepted);
 }
 
-// Guards against a body that is replaced by a change which was never committed.
-TEST(DocumentControllerTest, Put_ObjectOfUncommittedChange_TakesNextVersion) {
+// Guards against the body of an accepted version that is overwritten by a
+// change which was not accepted: the platform replaces objects.
+TEST(DocumentControllerTest, Put_RaceForOneVersion_KeepsBodyOfWinner) {
+  Fleet fleet(2);
+  std::vector<ChangeResult> results(2);
+  for (size_t i = 0; i < 2; ++i) {
+    fleet.controller(i).PutTrial(
+        "a", Body("a", static_cast<int>(i) + 1), absl::StrCat("race-", i),
+        [&results, i](ChangeResult it) { results[i] = std::move(it); });
+  }
+  // Both daemons write an object for version 1 before the first transaction.
+  while (fleet.platform.objects.size() < 2) {
+    for (size_t i = 0; i < 2; ++i) {
+      ASSERT_TRUE(fleet.store(i).PumpOne());
+    }
+  }
+  fleet.Run(absl::Seconds(1));
+  const size_t winner = results[0].outcome == ChangeOutcome::kAccepted ? 0 : 1;
+  fleet.Restart(0);
+  fleet.Run(absl::Seconds(1), false);
+  EXPECT_EQ(fleet.controller(0).Find("a", Stage::kTrial)->body,
+            Body("a", static_cast<int>(winner) + 1));
+}
+
+// Guards against a damaged object that comes into force.
+TEST(DocumentControllerTest, Poll_BodyWithWrongHash_IsNotApplied) {
   Fleet fleet(1);
-  fleet.platform.objects["environment/a/1"] = Body("a", 99);
-  const ChangeResult result = fleet.Put(0, "a", Body("a", 1), "op-1");
-  EXPECT_EQ(result.version, 2);
-  EXPECT_EQ(fleet.controller(0).Find("a", Stage::kTrial)->document.promised,
-            absl::Milliseconds(1));
+  fleet.Put(0, "a", Body("a", 1), "op-1");
+  fleet.platform.objects.begin()->second = Body("a", 2);
+  fleet.Restart(0);
+  fleet.Run(absl::Seconds(5));
+  EXPECT_EQ(fleet.controller(0).Find("a", Stage::kTrial), nullptr);
+  EXPECT_FALSE(fleet.controller(0).ready());
 }
 
 // Guards the bound of 9 s of invariant 8 where peers do not help.
@@ -764,6 +789,22 @@
     return effective;
   }
 
+  // The body of an accepted version, found by its row of the log.
+  std::string StoredBody(const std::string& environment,
+                         int64_t version) const {
+    for (const auto& [key, value] : fleet_.platform.history) {
+      const auto row = nlohmann::json::parse(value);
+      if (key.starts_with("documents/log/") &&
+          row["environment"] == environment && row["version"] == version) {
+        const std::string hash = row["body_hash"];
+        const auto object = fleet_.platform.objects.find(
+            absl::StrCat("environment/", environment, "/", version, "/", hash));
+        return object == fleet_.platform.objects.end() ? "" : object->second;
+      }
+    }
+    return {};
+  }
+
   void CheckOutcomes() {
     const std::set<std::string> effective = EffectiveOperations();
     std::map<std::pair<std::string, int64_t>, std::string> winners;
@@ -778,10 +819,7 @@
         ASSERT_TRUE(added) << it.id << " and " << winner->second;
       }
       if (accepted && it.is_put) {
-        ASSERT_EQ(
-            fleet_.platform.objects[absl::StrCat("environment/", it.environment,
-                                                 "/", *it.versions.begin())],
-            it.body);
+        ASSERT_EQ(StoredBody(it.environment, *it.versions.begin()), it.body);
       }
     }
   }
@@ -799,8 +837,7 @@
                   row["production"]["version"]);
         const auto trial = fleet_.controller(i).Find(it, Stage::kTrial);
         ASSERT_EQ(trial->version, row["trial"]["version"]);
-        ASSERT_EQ(trial->body, fleet_.platform.objects[absl::StrCat(
-                                   "environment/", it, "/", trial->version)]);
+        ASSERT_EQ(trial->body, StoredBody(it, trial->version));
       }
     }
   }
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -105,8 +105,8 @@
       if (down) {
         callback(std::nullopt, Unavailable());
       } else {
-        // The first body stays.
-        callback(platform_.objects.emplace(name, body).first->second, {});
+        platform_.objects[name] = body;
+        callback(body, {});
       }
     });
   }
