--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -1,5 +1,9 @@
 #include "radishrail/settings.h"
 
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
 #include "gmock/gmock.h"
@@ -180,6 +184,29 @@
   EXPECT_EQ(RenderSettings(*copy), text);
 }
 
+// Guards against a page that describes other settings than the daemon reads.
+TEST_F(SettingsTest, Reference_ConfigurationPage_ContainsIt) {
+  const auto page = std::filesystem::path(__FILE__).parent_path() / ".." /
+                    "docs" / "configuration.md";
+  std::ifstream file(page);
+  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  ASSERT_FALSE(text.empty());
+  EXPECT_THAT(text, HasSubstr(SettingsReference()));
+}
+
+// Guards against an example on the page that does not work.
+TEST_F(SettingsTest, Parse_ExampleOfConfigurationPage_Succeeds) {
+  const auto page = std::filesystem::path(__FILE__).parent_path() / ".." /
+                    "docs" / "configuration.md";
+  std::ifstream file(page);
+  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  const size_t begin = text.find("```ini\n") + 7;
+  Error error;
+  EXPECT_TRUE(ParseSettings(text.substr(begin, text.find("```", begin) - begin),
+                            "example", &error))
+      << error.ToString();
+}
+
 TEST_F(SettingsTest, Load_MissingFile_NamesPath) {
   Error error;
   EXPECT_FALSE(LoadSettings("/nonexistent/radishrail.ini", &error));
