Lend slots without refusals in the policy benchmark

Change: a slot is lent again only after it was given back; reports are sent only when they can change what the home does; the next job record of a team is fetched ahead.

--- a/benchmark/driver.h
+++ b/benchmark/driver.h
@@ -139,134 +139,224 @@
   }
 };
 
-// Stand-in for the slot broker: the home daemon of a runner lends its slots.
-// Every `interval` a daemon whose demand or use changed tells each home, and
-// each home sends the changed allowances of a daemon in one message. A lowered
-// allowance takes effect on arrival, so that a slot that is lent again at once
-// can be refused as busy.
+// Stand-in for the slot broker. One daemon per failure domain is the home of
+// its runners. A slot is lent to one daemon at a time and is lent again only
+// after it was given back, so no runner refuses. Every `interval` a daemon
+// reports its queue and gives idle slots back; the home lends free slots at
+// once and calls slots in from daemons above their part of the demand.
 class LendingAllowance : public Allowance {
  public:
   explicit LendingAllowance(Nanos interval) : interval_(interval) {}
 
   void Start(Fleet& fleet) override {
-    reports_.assign(fleet.daemons(), {});
-    for (auto& it : reports_) {
-      it.assign(fleet.daemons(), {});
-      for (auto& report : it) {
-        report.running.assign(kRunners, 0);
-      }
-    }
-    lent_.assign(fleet.daemons(), std::vector<int>(kRunners, 0));
+    const int n = fleet.daemons();
+    lent_.assign(n, std::vector<int>(kRunners, 0));
+    held_ = lent_;
+    owed_ = lent_;
+    need_.assign(n, std::vector<double>(n, 0));
+    reported_ = need_;
     homes_.assign(kRunners, 0);
     for (int r = 0; r < kRunners; ++r) {
-      std::vector<int> candidates;
-      for (int d = 0; d < fleet.daemons(); ++d) {
+      for (int d = n - 1; d >= 0; --d) {
         if (fleet.daemon_domain(d) == fleet.runner_domain(r)) {
-          candidates.push_back(d);
+          homes_[r] = d;
         }
       }
-      homes_[r] = candidates[(r / 8) % candidates.size()];
     }
-    for (int d = 0; d < fleet.daemons(); ++d) {
+    for (int d = 0; d < n; ++d) {
+      for (int home = 0; home < n; ++home) {
+        need_[home][d] = fleet.weight(d);
+      }
+    }
+    for (int d = 0; d < n; ++d) {
       Lend(fleet, d);
-      const Nanos offset = interval_ * d / fleet.daemons();
-      fleet.loop().After(offset, [this, &fleet, d] { Tick(fleet, d); });
+      fleet.loop().After(interval_ * (d + 1) / n,
+                         [this, &fleet, d] { Tick(fleet, d); });
     }
   }
 
  private:
-  struct Report {
-    int queued = 0;
-    std::vector<int> running;
-    bool operator==(const Report&) const = default;
-  };
+  using Slots = std::vector<std::pair<int, int>>;  // runner, slots
+
+  double HomeShare(int home) const {
+    return static_cast<double>(std::count(homes_.begin(), homes_.end(), home)) /
+           kRunners;
+  }
 
-  void Tick(Fleet& fleet, int daemon) {
+  void Tick(Fleet& fleet, int d) {
     if (fleet.done()) {
       return;
     }
-    Report report;
-    report.queued = fleet.queued(daemon);
-    for (int r = 0; r < kRunners; ++r) {
-      report.running.push_back(fleet.running(daemon, r));
-    }
     for (int home = 0; home < fleet.daemons(); ++home) {
-      if (home == daemon) {
-        reports_[home][daemon] = report;
+      const double share = HomeShare(home);
+      if (share == 0) {
         continue;
       }
-      if (report == last_sent_[daemon]) {
+      const double need = fleet.queued(d) * share;
+      const Slots returned = TakeIdle(fleet, d, home, need > 0);
+      const double before = reported_[home][d];
+      // A report is sent only if it can change what the home does.
+      if (returned.empty() && need <= 1.5 * before && need >= before / 2 &&
+          (need == 0 || before > 0)) {
         continue;
       }
-      fleet.CountControl(1, 0);
-      fleet.loop().After(
-          fleet.DaemonLatency(daemon, home),
-          [this, home, daemon, report] { reports_[home][daemon] = report; });
+      reported_[home][d] = need;
+      if (home != d) {
+        fleet.CountControl(1, 0);
+      }
+      fleet.loop().After(fleet.DaemonLatency(d, home),
+                         [this, &fleet, d, home, need, returned] {
+                           for (const auto& [r, slots] : returned) {
+                             lent_[d][r] -= slots;
+                           }
+                           need_[home][d] = need;
+                           Lend(fleet, home);
+                         });
+    }
+    CallIn(fleet, d);
+    fleet.loop().After(interval_, [this, &fleet, d] { Tick(fleet, d); });
+  }
+
+  // Slots of `home` that the daemon gives back: those called in that are idle
+  // by now and, without a queue, all idle ones beyond a small reserve.
+  Slots TakeIdle(Fleet& fleet, int d, int home, bool has_queue) {
+    Slots list;
+    double reserve = kReservePerWeight * fleet.weight(d) * HomeShare(home);
+    for (int r = 0; r < kRunners; ++r) {
+      if (homes_[r] != home) {
+        continue;
+      }
+      const int running = fleet.running(d, r);
+      int slots = std::min(owed_[d][r], held_[d][r] + owed_[d][r] - running);
+      slots = std::max(slots, 0);
+      owed_[d][r] -= slots;
+      int idle = std::max(held_[d][r] - running, 0);
+      if (!has_queue && idle > 0) {
+        const int kept = std::min(idle, static_cast<int>(reserve));
+        reserve -= kept;
+        idle -= kept;
+        held_[d][r] -= idle;
+        slots += idle;
+        fleet.SetSlots(d, r, held_[d][r]);
+      }
+      if (slots > 0) {
+        list.emplace_back(r, slots);
+      }
     }
-    last_sent_[daemon] = report;
-    Lend(fleet, daemon);
-    fleet.loop().After(interval_,
-                       [this, &fleet, daemon] { Tick(fleet, daemon); });
+    return list;
   }
 
-  // Divides the idle slots of the runners of `home` by demand: queued tasks of
-  // each daemon, and its weight so that new demand finds slots at once.
+  // Lends free slots to the daemons with the highest need per slot they have.
   void Lend(Fleet& fleet, int home) {
     const int n = fleet.daemons();
-    std::vector<double> demand(n);
-    double sum = 0;
+    std::vector<int> has(n, 0);
     for (int d = 0; d < n; ++d) {
-      demand[d] = reports_[home][d].queued + 0.5 * fleet.weight(d);
-      sum += demand[d];
+      for (int r = 0; r < kRunners; ++r) {
+        has[d] += homes_[r] == home ? lent_[d][r] : 0;
+      }
     }
-    std::vector<std::vector<std::pair<int, int>>> changes(n);
-    std::vector<double> credit(n, 0);
+    std::vector<Slots> granted(n);
     for (int r = 0; r < kRunners; ++r) {
       if (homes_[r] != home) {
         continue;
       }
-      int idle = kSlotsPerRunner;
-      std::vector<int> slots(n);
+      int free = kSlotsPerRunner;
       for (int d = 0; d < n; ++d) {
-        slots[d] = reports_[home][d].running[r];
-        idle -= slots[d];
+        free -= lent_[d][r];
       }
-      for (int d = 0; d < n; ++d) {
-        credit[d] += std::max(idle, 0) * demand[d] / sum;
-      }
-      for (; idle > 0; --idle) {
-        const auto it = std::max_element(credit.begin(), credit.end());
-        *it -= 1;
-        ++slots[it - credit.begin()];
-      }
-      for (int d = 0; d < n; ++d) {
-        if (slots[d] != lent_[d][r]) {
-          lent_[d][r] = slots[d];
-          changes[d].push_back({r, slots[d]});
+      for (; free > 0; --free) {
+        int best = -1;
+        for (int d = 0; d < n; ++d) {
+          if (need_[home][d] > 0 &&
+              (best < 0 || need_[home][d] * (has[best] + 1) >
+                               need_[home][best] * (has[d] + 1))) {
+            best = d;
+          }
         }
+        if (best < 0) {
+          break;
+        }
+        --need_[home][best];
+        ++has[best];
+        ++lent_[best][r];
+        granted[best].emplace_back(r, 1);
       }
     }
     for (int d = 0; d < n; ++d) {
-      if (changes[d].empty()) {
+      if (granted[d].empty()) {
         continue;
       }
       if (d != home) {
         fleet.CountControl(1, 0);
       }
+      reported_[home][d] = need_[home][d];
       fleet.loop().After(fleet.DaemonLatency(home, d),
-                         [&fleet, d, list = std::move(changes[d])] {
-                           for (const auto& [runner, slots] : list) {
-                             fleet.SetSlots(d, runner, slots);
+                         [this, &fleet, d, list = std::move(granted[d])] {
+                           for (const auto& [r, slots] : list) {
+                             held_[d][r] += slots;
+                             fleet.SetSlots(d, r, held_[d][r]);
                            }
                          });
     }
   }
 
+  // Calls slots in from daemons that have more than their part of the demand,
+  // while another daemon has less than its part and a queue.
+  void CallIn(Fleet& fleet, int home) {
+    const int n = fleet.daemons();
+    const double all = kRunners * kSlotsPerRunner * HomeShare(home);
+    std::vector<double> has(n, 0);
+    double demand = 0;
+    for (int d = 0; d < n; ++d) {
+      for (int r = 0; r < kRunners; ++r) {
+        has[d] += homes_[r] == home ? lent_[d][r] : 0;
+      }
+      demand += has[d] + std::max(need_[home][d], 0.0);
+    }
+    if (all == 0 || demand <= all * kCallInDemand) {
+      return;
+    }
+    for (int d = 0; d < n; ++d) {
+      const double part =
+          all * (has[d] + std::max(need_[home][d], 0.0)) / demand;
+      int excess = static_cast<int>((has[d] - part) * kCallInPart);
+      Slots list;
+      for (int r = 0; r < kRunners && excess > 0; ++r) {
+        if (homes_[r] == home && held_[d][r] > 0) {
+          list.emplace_back(r, 1);
+          --excess;
+        }
+      }
+      if (list.size() < 2) {
+        continue;
+      }
+      if (d != home) {
+        fleet.CountControl(1, 0);
+      }
+      fleet.loop().After(fleet.DaemonLatency(home, d), [this, &fleet, d, list] {
+        for (const auto& [r, slots] : list) {
+          const int taken = std::min(slots, held_[d][r]);
+          held_[d][r] -= taken;
+          owed_[d][r] += taken;
+          fleet.SetSlots(d, r, held_[d][r]);
+        }
+      });
+    }
+  }
+
+  // Idle slots that a daemon keeps, so that new jobs start without a loan.
+  static constexpr double kReservePerWeight = 10;
+  // Slots are called in above this demand per slot.
+  static constexpr double kCallInDemand = 1.1;
+  // Part of the excess that is called in at a time.
+  static constexpr double kCallInPart = 0.3;
+
   const Nanos interval_;
-  std::vector<std::vector<Report>> reports_;  // [home][daemon]
-  std::map<int, Report> last_sent_;
-  std::vector<std::vector<int>> lent_;  // [daemon][runner]
-  std::vector<int> homes_;
+  std::vector<int> homes_;                     // by runner
+  std::vector<std::vector<int>> lent_;         // home's view [daemon][runner]
+  std::vector<std::vector<int>> held_, owed_;  // daemon's view
+  std::vector<std::vector<double>> need_;      // home's view [home][daemon]
+  std::vector<std::vector<double>> reported_;  // daemon's view
 };
 
 // Runs a workload on daemons with a scheduler each.
--- a/src/policy_scheduler.cc
+++ b/src/policy_scheduler.cc
@@ -234,6 +234,14 @@
   bool MoveToOtherLane(JobIndex index, JobLane* job_lane, double now);
   void Place(JobIndex index, uint32_t task, UpstreamId upstream, double now);
   void AfterPop(JobIndex index, LaneId lane);
+  // With a million jobs of one task, most of a placement is waiting for the
+  // job's record, so the next one of the team is fetched ahead.
+  void PrefetchJob(JobIndex index) const {
+    const char* record = reinterpret_cast<const char*>(&jobs_[index]);
+    for (size_t i = 0; i < sizeof(Job); i += 64) {
+      __builtin_prefetch(record + i);
+    }
+  }
   void Enqueue(JobIndex index, uint32_t task, bool is_long);
   void Delay(JobIndex index, uint32_t task, double due);
   void ReleaseSlots(Job* job, Task* task, double run_s);
@@ -874,6 +882,9 @@
         PopHeap(&group_lane.heap);
         --group_lane.live;
         it.ticket = kNoTicket;
+        if (!group_lane.heap.empty()) {
+          PrefetchJob(group_lane.heap.front().job);
+        }
       } else {
         // The remaining work only falls here, so the entry stays the top.
         HeapEntry& top = group_lane.heap.front();
