--- a/include/radishrail/http_client.h
+++ b/include/radishrail/http_client.h
@@ -47,6 +47,10 @@
   int connections_per_host = 8;
   // Idle connections kept over all hosts.
   int max_idle_connections = 512;
+  // A connection that was idle for longer is not used again. It is below the
+  // idle time-out of servers (10 s here): a request on a connection that the
+  // server is just closing has an unknown outcome. Whole seconds.
+  absl::Duration max_idle_time = absl::Seconds(5);
   absl::Duration connect_timeout = absl::Seconds(1);
   size_t max_response_bytes = 8 * 1024 * 1024;
   Step step = Step::kForward;  // step that errors name
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -489,6 +489,9 @@
       easy, CURLOPT_CONNECTTIMEOUT_MS,
       static_cast<long>(std::max<int64_t>(
           1, absl::ToInt64Milliseconds(settings_.connect_timeout))));
+  curl_easy_setopt(
+      easy, CURLOPT_MAXAGE_CONN,
+      static_cast<long>(absl::ToInt64Seconds(settings_.max_idle_time)));
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeRequest);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
