--- a/src/ownership.cc
+++ b/src/ownership.cc
@@ -331,6 +331,7 @@
   // The own lease row. `acquired_`: it is held by this incarnation as far as
   // known; versions only grow.
   bool acquired_ = false;
+  bool releasing_ = false;
   bool released_ = false;
   bool superseded_ = false;  // the vm runs a newer incarnation
   bool own_row_known_ = false;
@@ -645,7 +646,7 @@
 }
 
 void OwnershipController::Impl::Renew() {
-  if (!acquired_ || released_ || lease_write_in_flight_ ||
+  if (!acquired_ || released_ || releasing_ || lease_write_in_flight_ ||
       Now() < next_lease_write_) {
     return;
   }
@@ -691,6 +692,8 @@
 }
 
 void OwnershipController::Impl::Release() {
+  // Renewals end, or they would always be due before the release.
+  releasing_ = true;
   if (lease_write_in_flight_ || Now() < next_lease_write_) {
     return;
   }
