Close HTTP connections of clients that send a request too slowly

Cause: the idle time-out of libmicrohttpd starts again with each byte, so that a client that sends a byte now and then keeps its connection for ever. Ruled out: a check in the access handler alone, since libmicrohttpd calls it only after the whole header. Change: a request time-out (40 s by default) from the connection or the last response until the whole request; a thread that sleeps while there are no connections shuts down the sockets of late clients. Waiting for the handler does not count. Conclusion: slow writers cannot exhaust the connection limit for longer than the request time-out.

--- a/include/radishrail/http_server.h
+++ b/include/radishrail/http_server.h
@@ -64,6 +64,9 @@
   size_t max_header_bytes = 16 * 1024;
   // A connection without traffic is closed after this time; whole seconds.
   absl::Duration idle_timeout = absl::Seconds(10);
+  // Time for a client to send a whole request, from its connection or its last
+  // response; closes connections of clients that send a byte now and then.
+  absl::Duration request_timeout = absl::Seconds(40);
   // Names of the headers that requests carry to the handler.
   std::vector<std::string> request_headers = {"Authorization",
                                               "Idempotency-Key"};
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -1,6 +1,7 @@
 #include "radishrail/http_server.h"
 
 #include <microhttpd.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
@@ -10,6 +11,7 @@
 #include <cstdio>
 #include <cstring>
 #include <mutex>
+#include <thread>
 #include <utility>
 
 #include "absl/container/flat_hash_set.h"
@@ -43,6 +45,12 @@
   Log(LogLevel::kDebug, "http server library", {{"detail", line.data()}});
 }
 
+// Interval at which connections are checked against the request time-out, as a
+// share of it, and its bounds.
+constexpr int kSweepsPerTimeout = 4;
+constexpr absl::Duration kMinSweepInterval = absl::Milliseconds(10);
+constexpr absl::Duration kMaxSweepInterval = absl::Seconds(5);
+
 HttpResponse ErrorResponse(int status, ErrorCode code, const char* detail) {
   HttpResponse response;
   response.status = status;
@@ -262,6 +270,11 @@
                           void** context,
                           MHD_RequestTerminationCode code);
 
+  static void OnConnection(void* self,
+                           MHD_Connection* connection,
+                           void** socket_context,
+                           MHD_ConnectionNotificationCode code);
+
   MHD_Result OnHeader(MHD_Connection* connection,
                       const char* url,
                       const char* method,
@@ -278,6 +291,16 @@
     return stopping_;
   }
   bool WaitUntilQuiet(std::chrono::steady_clock::time_point deadline);
+  void Sweep();
+  void StopSweeper();
+
+  // A connection of which a request is awaited or received.
+  struct ConnectionRecord {
+    int fd = -1;
+    bool receiving = true;
+    std::chrono::steady_clock::time_point since;
+  };
+  static ConnectionRecord* RecordOf(MHD_Connection* connection);
 
   const HttpServerSettings settings_;
   const HttpHandler handler_;
@@ -286,10 +309,14 @@
 
   mutable std::mutex mutex_;
   std::condition_variable changed_;
+  std::condition_variable sweep_;
   absl::flat_hash_set<StatePointer> requests_;
   uint64_t requests_begun_ = 0;
   bool stopping_ = false;  // responses close their connections
   bool refusing_ = false;  // the time for requests in progress is over
+  bool sweeping_ = false;
+  absl::flat_hash_set<std::unique_ptr<ConnectionRecord>> connections_;
+  std::thread sweeper_;
 };
 
 bool HttpServer::Impl::Start(Error* error) {
@@ -318,6 +345,7 @@
                        0, nullptr, nullptr, &Impl::OnAccess, this,
                        MHD_OPTION_EXTERNAL_LOGGER, &LogLibraryMessage, nullptr,
                        MHD_OPTION_NOTIFY_COMPLETED, &Impl::OnCompleted, this,
+                       MHD_OPTION_NOTIFY_CONNECTION, &Impl::OnConnection, this,
                        MHD_OPTION_ARRAY, options.data(), MHD_OPTION_END);
   if (daemon_ == nullptr) {
     Fail(error, ErrorCode::kInternal, Step::kSettings,
@@ -325,9 +353,81 @@
     return false;
   }
   listener->release();
+  if (settings_.request_timeout < absl::InfiniteDuration()) {
+    sweeping_ = true;
+    sweeper_ = std::thread([this] { Sweep(); });
+  }
   return true;
 }
 
+// Shuts down the sockets of clients that take too long to send a request.
+// libmicrohttpd's own time-out starts again with each byte. The thread sleeps
+// while there are no connections.
+void HttpServer::Impl::Sweep() {
+  const auto timeout = absl::ToChronoNanoseconds(settings_.request_timeout);
+  const auto interval = absl::ToChronoNanoseconds(
+      std::clamp(settings_.request_timeout / kSweepsPerTimeout,
+                 kMinSweepInterval, kMaxSweepInterval));
+  std::unique_lock lock(mutex_);
+  while (sweeping_) {
+    if (connections_.empty()) {
+      sweep_.wait(lock);
+      continue;
+    }
+    const auto latest = std::chrono::steady_clock::now() - timeout;
+    for (const auto& it : connections_) {
+      if (it->receiving && it->since < latest) {
+        shutdown(it->fd, SHUT_RDWR);
+      }
+    }
+    sweep_.wait_for(lock, interval, [&] { return !sweeping_; });
+  }
+}
+
+void HttpServer::Impl::StopSweeper() {
+  {
+    const std::lock_guard lock(mutex_);
+    sweeping_ = false;
+  }
+  sweep_.notify_all();
+  if (sweeper_.joinable()) {
+    sweeper_.join();
+  }
+}
+
+HttpServer::Impl::ConnectionRecord* HttpServer::Impl::RecordOf(
+    MHD_Connection* connection) {
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  return info == nullptr ? nullptr
+                         : static_cast<ConnectionRecord*>(info->socket_context);
+}
+
+// The end of a connection is notified before its socket is closed, so that the
+// sweeper never shuts down a descriptor that was opened anew.
+void HttpServer::Impl::OnConnection(void* self,
+                                    MHD_Connection* connection,
+                                    void** socket_context,
+                                    MHD_ConnectionNotificationCode code) {
+  auto* impl = static_cast<Impl*>(self);
+  if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+    auto record = std::make_unique<ConnectionRecord>();
+    const MHD_ConnectionInfo* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    record->fd = info->connect_fd;
+    record->since = std::chrono::steady_clock::now();
+    *socket_context = record.get();
+    const std::lock_guard lock(impl->mutex_);
+    impl->connections_.insert(std::move(record));
+    if (impl->connections_.size() == 1) {
+      impl->sweep_.notify_one();
+    }
+  } else {
+    const std::lock_guard lock(impl->mutex_);
+    impl->connections_.erase(static_cast<ConnectionRecord*>(*socket_context));
+  }
+}
+
 bool HttpServer::Impl::WaitUntilQuiet(
     std::chrono::steady_clock::time_point deadline) {
   std::unique_lock lock(mutex_);
@@ -372,6 +472,7 @@
   if (!unanswered.empty()) {
     WaitUntilQuiet(std::chrono::steady_clock::now() + kFinalSendTime);
   }
+  StopSweeper();
   MHD_stop_daemon(daemon_);
   daemon_ = nullptr;
   return finished || unanswered.empty();
@@ -466,13 +567,16 @@
     return Refuse(connection, MHD_HTTP_CONTENT_TOO_LARGE,
                   "the request body exceeds the limit");
   }
-  bool refusing = false;
-  {
-    const std::lock_guard lock(mutex_);
-    refusing = refusing_;
-  }
   if (!state->dispatched) {
     state->dispatched = true;
+    bool refusing = false;
+    {
+      const std::lock_guard lock(mutex_);
+      refusing = refusing_;
+      if (ConnectionRecord* record = RecordOf(connection)) {
+        record->receiving = false;
+      }
+    }
     if (refusing) {
       state->Answer(ErrorResponse(MHD_HTTP_SERVICE_UNAVAILABLE,
                                   ErrorCode::kDraining, "the server stops"));
@@ -509,7 +613,7 @@
 }
 
 void HttpServer::Impl::OnCompleted(void* self,
-                                   MHD_Connection* /*connection*/,
+                                   MHD_Connection* connection,
                                    void** context,
                                    MHD_RequestTerminationCode /*code*/) {
   if (*context == nullptr) {
@@ -522,6 +626,10 @@
   (*state)->Complete();
   const std::lock_guard lock(impl->mutex_);
   impl->requests_.erase(*state);
+  if (ConnectionRecord* record = RecordOf(connection)) {
+    record->receiving = true;
+    record->since = std::chrono::steady_clock::now();
+  }
   if (impl->stopping_) {
     impl->changed_.notify_all();
   }
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -1,4 +1,5 @@
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -6,6 +7,7 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
 #include "gtest/gtest.h"
 #include "radishrail/control_loop.h"
 #include "radishrail/http_client.h"
@@ -198,6 +200,31 @@
   EXPECT_TRUE(held_.empty());
 }
 
+// Guards against writers whose bytes arrive within the idle time-out, so that
+// the idle time-out never ends their request.
+TEST_F(HttpTest, SlowWriter_SendsByteAfterByte_IsClosedWithoutHandler) {
+  settings_.request_timeout = absl::Milliseconds(200);
+  ServeHeld();
+  auto slow = RawConnection::To(server_->address());
+  slow.Write("GET / HTTP/1.1\r\nX-Header: ");
+  const absl::Time limit = absl::Now() + kTestWait;
+  while (slow.TryWrite("x") && absl::Now() < limit) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  EXPECT_LT(absl::Now(), limit);
+  EXPECT_TRUE(held_.empty());
+}
+
+TEST_F(HttpTest, Request_AnsweredAfterRequestTimeout_IsNotCutOff) {
+  settings_.request_timeout = absl::Milliseconds(50);
+  ServeHeld();
+  auto pending = SendAsync(*client_, Request());
+  const HttpResponder respond = WaitForRequest();
+  loop_.PostDelayed(absl::Milliseconds(300),
+                    [&] { respond(WithBody("answered")); });
+  EXPECT_EQ(pending.Wait().body, "answered");
+}
+
 TEST_F(HttpTest, Client_DisconnectsWhileSuspended_ServerContinues) {
   ServeHeld();
   auto raw = RawConnection::To(server_->address());
--- a/tests/socket_test_util.h
+++ b/tests/socket_test_util.h
@@ -35,9 +35,11 @@
     return RawConnection(std::move(fd));
   }
 
-  void Write(std::string_view text) {
-    EXPECT_EQ(send(fd_.get(), text.data(), text.size(), MSG_NOSIGNAL),
-              static_cast<ssize_t>(text.size()));
+  void Write(std::string_view text) { EXPECT_TRUE(TryWrite(text)); }
+  // False if the peer has closed the connection.
+  bool TryWrite(std::string_view text) {
+    return send(fd_.get(), text.data(), text.size(), MSG_NOSIGNAL) ==
+           static_cast<ssize_t>(text.size());
   }
 
   // Reads until `end` was seen or the peer closed the connection.
--- a/tools/standin_platform/platform_standin.h
+++ b/tools/standin_platform/platform_standin.h
@@ -77,6 +77,7 @@
     server.address = settings.address;
     server.threads = settings.threads;
     server.idle_timeout = absl::Minutes(10);
+    server.request_timeout = absl::InfiniteDuration();
     server.request_headers = {"Radishrail-Vm"};
     return server;
   }
--- a/tools/standin_upstream/upstream_standin.h
+++ b/tools/standin_upstream/upstream_standin.h
@@ -115,6 +115,7 @@
     server.threads = settings.threads;
     server.max_connections = settings.connections;
     server.idle_timeout = absl::Minutes(10);
+    server.request_timeout = absl::InfiniteDuration();
     server.request_headers = {};
     return server;
   }
