Test that the peer transport pauses while its executor is behind

Cause: the bound on undelivered bytes had no test. Ruled out: a verdict by time: the transport reads past the bound only if it does not pause, however long the test waits. Change: one test; the header says when a disconnection is reported twice.

--- a/include/radishrail/tcp_peer_transport.h
+++ b/include/radishrail/tcp_peer_transport.h
@@ -52,7 +52,9 @@
 
   // Thread-safe. Returns false before `Start`, while a failed connection waits
   // for its next attempt, and when the queue is full. Messages that wait when a
-  // connection breaks are lost, and `OnPeerDisconnected` follows.
+  // connection breaks or cannot be opened are lost, and `OnPeerDisconnected`
+  // follows. It also follows when the peer's own connection breaks, since
+  // replies may be lost with it; a peer that dies is reported twice.
   bool Send(const std::string& peer_address,
             const PeerMessage& message) override;
 
--- a/tests/tcp_peer_transport_test.cc
+++ b/tests/tcp_peer_transport_test.cc
@@ -1,6 +1,7 @@
 #include "radishrail/tcp_peer_transport.h"
 
 #include <algorithm>
+#include <chrono>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -77,7 +78,7 @@
     }
     settings.listen_address = address;
     transport =
-        std::make_unique<TcpPeerTransport>(settings, clock_, loop_, metrics);
+        std::make_unique<TcpPeerTransport>(settings, clock_, loop, metrics);
     MemberRecord self;
     self.vm = vm;
     self.incarnation = 7;
@@ -86,7 +87,7 @@
   }
   ~Node() {
     transport->Stop();
-    loop_.Stop();
+    loop.Stop();
   }
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
@@ -100,11 +101,11 @@
 
   RecordingHandler handler;
   Metrics metrics;
+  ControlLoop loop;
   std::unique_ptr<TcpPeerTransport> transport;
 
  private:
   SystemClock clock_;
-  ControlLoop loop_;
 };
 
 class TcpPeerTransportTest : public testing::Test {
@@ -304,6 +305,40 @@
   EXPECT_EQ(raw.ReadUntilClosed(), "");
 }
 
+// Guards against memory that grows without bound while the control thread is
+// behind, and against a connection that is not read again afterwards.
+TEST_F(TcpPeerTransportTest, Receive_ExecutorBlocked_PausesAndThenContinues) {
+  constexpr size_t kMessages = 48;
+  constexpr size_t kMessageBytes = 1024 * 1024;
+  constexpr size_t kPauseBytes = 16 * kMessageBytes;
+  Node a("vm-a");
+  Node b("vm-b");
+  Event release;
+  b.loop.Post([&] { release.Wait(); });
+  std::thread sender([&] {
+    for (size_t i = 0; i < kMessages; ++i) {
+      SendWhenPossible(a, b.address(),
+                       ForwardReply{i, 200, std::string(kMessageBytes, 'x')});
+    }
+  });
+  const absl::Time limit = absl::Now() + kTestWait;
+  const auto received = [&] {
+    return b.counter("radishrail_peer_received_bytes_total");
+  };
+  while (received() < kPauseBytes && absl::Now() < limit) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  // Time in which a transport that does not pause would read on.
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  EXPECT_LT(received(), kPauseBytes + 4 * kMessageBytes);
+  release.Notify();
+  const auto messages = b.handler.WaitForMessages(kMessages);
+  sender.join();
+  ASSERT_EQ(messages.size(), kMessages);
+  EXPECT_EQ(std::get<ForwardReply>(messages.back().second).request,
+            kMessages - 1);
+}
+
 TEST_F(TcpPeerTransportTest, Stop_WithOpenConnections_TellsPeer) {
   Node a("vm-a");
   Node b("vm-b");
