Pass the time of the ownership decision to the job table

Cause: a pause between the decision on a key and its acceptance would lengthen the time in which tasks may start. Ruled out: a second check of the lease after acceptance, which leaves the same gap. Conclusion: start-by counts from the decision.

--- a/include/radishrail/filter.h
+++ b/include/radishrail/filter.h
@@ -47,6 +47,7 @@
   CallerResponder respond;
   std::optional<JobKey> key;
   std::shared_ptr<const VersionedDocument> document;
+  absl::Time decided_at = absl::InfiniteFuture();  // of ownership
 };
 
 // One step in the handling of a request.
--- a/include/radishrail/job_controller.h
+++ b/include/radishrail/job_controller.h
@@ -51,9 +51,12 @@
   // The caller has established ownership of the key in the same turn. An
   // accepted job that ends as `kNotRun` is forgotten too, unless it was
   // cancelled.
+  // `decided_at` is the time of that decision: a pause between the decision and
+  // this call shortens the time in which tasks may start.
   void Accept(JobSpec job,
               std::shared_ptr<const VersionedDocument> document,
-              AnswerCallback callback);
+              AnswerCallback callback,
+              absl::Time decided_at = absl::InfiniteFuture());
   // The present state of a job; nullopt if the key is not remembered. Outputs
   // are included only when the answer is whole.
   std::optional<JobAnswer> Find(std::string_view key) const;
@@ -68,6 +71,9 @@
 
   // For a handover: all remembered range-bound keys.
   std::vector<RememberedKey> Remembered() const;
+  // The same for some ranges only.
+  std::vector<RememberedKey> RememberedIn(
+      const std::vector<uint32_t>& ranges) const;
   // Keys of a predecessor. One that was not finished is answered "unknown".
   void Import(const std::vector<RememberedKey>& keys);
 
--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -7,6 +7,7 @@
 
 #include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/string_view.h"
 #include "radishrail/job_json.h"
@@ -221,13 +222,14 @@
 
   void Accept(JobSpec spec,
               std::shared_ptr<const VersionedDocument> document,
-              AnswerCallback callback) {
+              AnswerCallback callback,
+              absl::Time decided_at) {
     const CallScope scope(*this);
     if (Knows(spec.key)) {
       Join(spec, std::move(callback));
       return;
     }
-    const absl::Time now = clock_.Monotonic();
+    const absl::Time now = std::min(clock_.Monotonic(), decided_at);
     std::optional<Refusal> refusal = CheckAcceptable(spec, document.get());
     const uint64_t number = next_job_++;
     if (!refusal.has_value()) {
@@ -280,10 +282,11 @@
     counters_.remembered.Set(static_cast<int64_t>(records_.size()));
   }
 
-  std::vector<RememberedKey> Remembered() const {
+  std::vector<RememberedKey> Remembered(
+      const std::function<bool(std::string_view)>& selects) const {
     std::vector<RememberedKey> out;
     for (const auto& [key, record] : records_) {
-      if (!record->key.starts_with(kMintedPrefix)) {
+      if (!record->key.starts_with(kMintedPrefix) && selects(record->key)) {
         out.push_back({record->key, environments_[record->environment].name,
                        record->body_hash, !record->answer_json.empty(),
                        record->accepted_unix_ms, record->answer_json});
@@ -1093,8 +1096,10 @@
 }
 void JobController::Accept(JobSpec job,
                            std::shared_ptr<const VersionedDocument> document,
-                           AnswerCallback callback) {
-  impl_->Accept(std::move(job), std::move(document), std::move(callback));
+                           AnswerCallback callback,
+                           absl::Time decided_at) {
+  impl_->Accept(std::move(job), std::move(document), std::move(callback),
+                decided_at);
 }
 std::optional<JobAnswer> JobController::Find(std::string_view key) const {
   return impl_->Find(key);
@@ -1106,7 +1111,14 @@
   impl_->Tick();
 }
 std::vector<RememberedKey> JobController::Remembered() const {
-  return impl_->Remembered();
+  return impl_->Remembered([](std::string_view) { return true; });
+}
+std::vector<RememberedKey> JobController::RememberedIn(
+    const std::vector<uint32_t>& ranges) const {
+  const absl::flat_hash_set<uint32_t> wanted(ranges.begin(), ranges.end());
+  return impl_->Remembered([&wanted](std::string_view key) {
+    return wanted.contains(KeyRange(key));
+  });
 }
 void JobController::Import(const std::vector<RememberedKey>& keys) {
   impl_->Import(keys);
--- a/src/node.cc
+++ b/src/node.cc
@@ -102,6 +102,9 @@
         forwarder_(env.clock, env.transport, membership_, env.metrics),
         chain_(MakeFilters()),
         periodic_(MakePeriodic()) {
+    ownership_.SetKeySource([this](const std::vector<uint32_t>& ranges) {
+      return jobs_.RememberedIn(ranges);
+    });
     RecordEvent(EventType::kDaemonStarted);
   }
 
@@ -191,6 +194,8 @@
     fleet["failure_domain"] = self.failure_domain;
     fleet["state"] = MemberStateName(self.state);
     fleet["revision"] = documents_.revision();
+    fleet["handover_finished"] = ownership_.handover_finished();
+    fleet["forwarded_pending"] = forwarder_.pending();
     fleet["jobs_in_progress"] = jobs_.jobs_in_progress();
     fleet["remembered_keys"] = jobs_.remembered_keys();
     fleet["queued_tasks"] = scheduler_->queued_tasks();
--- a/src/request_filters.cc
+++ b/src/request_filters.cc
@@ -32,6 +32,14 @@
   return {name, Stage::kProduction};
 }
 
+// "Unknown" with the time after which a repetition makes sense.
+JobAnswer RepeatableAnswer(const JobSpec& job,
+                           const OwnershipDecision& decision) {
+  JobAnswer answer = UnknownAnswer(job, decision.error);
+  answer.retry_after = decision.retry_after;
+  return answer;
+}
+
 void Refuse(RequestContext& context,
             const Error& error,
             absl::Duration retry_after) {
@@ -173,6 +181,7 @@
   const OwnershipDecision decision = ownership_.Resolve(*context.key);
   switch (decision.verdict) {
     case OwnershipVerdict::kAccept:
+      context.decided_at = decision.decided_at;
       return true;
     case OwnershipVerdict::kForward:
       if (context.request.hops < kMaxHops) {
@@ -190,10 +199,10 @@
       return false;
     case OwnershipVerdict::kUnknown:
       unknown_.Add();
-      context.respond(context.request.job.has_value()
-                          ? AnswerResponse(UnknownAnswer(*context.request.job,
-                                                         decision.error))
-                          : ErrorResponse(decision.error));
+      context.respond(
+          context.request.job.has_value()
+              ? AnswerResponse(RepeatableAnswer(*context.request.job, decision))
+              : ErrorResponse(decision.error));
       return false;
   }
   return false;
@@ -211,10 +220,12 @@
            kStartingRetryAfter);
     return false;
   }
-  jobs_.Accept(std::move(*context.request.job), std::move(context.document),
-               [respond = context.respond](const JobAnswer& answer) {
-                 respond(AnswerResponse(answer));
-               });
+  jobs_.Accept(
+      std::move(*context.request.job), std::move(context.document),
+      [respond = context.respond](const JobAnswer& answer) {
+        respond(AnswerResponse(answer));
+      },
+      context.decided_at);
   return false;
 }
 
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -211,7 +211,7 @@
       }
       fleet_.RunFor(absl::Milliseconds(200));
     }
-    ASSERT_TRUE(fleet_.node(vm).drained()) << vm;
+    ASSERT_TRUE(fleet_.node(vm).drained()) << fleet_.node(vm).FleetJson();
     fleet_.Restart(vm);
     fleet_.RunFor(absl::Seconds(20));
   }
