--- a/include/radishrail/policy_scheduler.h
+++ b/include/radishrail/policy_scheduler.h
@@ -42,7 +42,10 @@
   // Part of the promise kept for the answer's way to the caller.
   absl::Duration promise_margin = absl::Milliseconds(10);
   // Fair shares apply while the queue holds more than this much work per slot.
-  absl::Duration fair_share_backlog = absl::Milliseconds(200);
+  absl::Duration fair_share_backlog = absl::Seconds(2);
+  // Time that a job needs from its start, as a multiple of the time in which
+  // all slots would do its work. Smaller jobs that arrive meanwhile go first.
+  double start_factor = 2;
   // Bounds of the retry time of a refusal.
   absl::Duration min_retry = absl::Milliseconds(100);
   absl::Duration max_retry = absl::Seconds(30);
--- a/src/policy_scheduler.cc
+++ b/src/policy_scheduler.cc
@@ -805,12 +805,16 @@
 }
 
 // The last task of a job starts once the others have been placed. A wide job
-// that is started too late occupies slots for nothing.
+// that starts too late occupies slots for nothing; without other work to use
+// them it may try.
 bool PolicyScheduler::Impl::CannotMeetPromise(const Job& job,
                                               double now) const {
-  return now + job.longest_s / pools_.top_speed() +
-             job.queued_work_s / std::max(pools_.capacity(), 1.0) >
-         job.promise_by_s;
+  double need_s = job.longest_s / pools_.top_speed();
+  if (queued_work_s_ - job.queued_work_s > job.queued_work_s) {
+    need_s += settings_.start_factor * job.queued_work_s /
+              std::max(pools_.capacity(), 1.0);
+  }
+  return now + need_s > job.promise_by_s;
 }
 
 void PolicyScheduler::Impl::MarkHopeless(JobIndex index) {
