--- a/tests/tcp_peer_transport_test.cc
+++ b/tests/tcp_peer_transport_test.cc
@@ -188,6 +188,7 @@
 TEST_F(TcpPeerTransportTest, Send_QueueFull_IsRefused) {
   TcpPeerSettings settings;
   settings.max_queue_bytes = 64 * 1024;
+  settings.hello_timeout = absl::Hours(1);
   Node a("vm-a", settings);
   RawListener silent;
   const PeerMessage message = ForwardReply{1, 200, std::string(10000, 'x')};
