--- a/include/radishrail/policy_scheduler.h
+++ b/include/radishrail/policy_scheduler.h
@@ -29,7 +29,7 @@
   // Slot-seconds of remaining work that a second of waiting outweighs.
   // Constant, since keys of jobs must stay comparable while the capacity
   // changes.
-  double aging = 2;
+  double aging = 0.5;
   // A kind is long if its mean run time exceeds this multiple of the median
   // task, and `min_long_run`.
   double long_factor = 5;
@@ -42,7 +42,10 @@
   // Part of the promise kept for the answer's way to the caller.
   absl::Duration promise_margin = absl::Milliseconds(10);
   // Fair shares apply while the queue holds more than this much work per slot.
-  absl::Duration fair_share_backlog = absl::Milliseconds(200);
+  absl::Duration fair_share_backlog = absl::Seconds(2);
+  // Time that a job needs from its start, as a multiple of the time in which
+  // all slots would do its work. Smaller jobs that arrive meanwhile go first.
+  double start_factor = 2;
   // Bounds of the retry time of a refusal.
   absl::Duration min_retry = absl::Milliseconds(100);
   absl::Duration max_retry = absl::Seconds(30);
