--- a/src/ownership.cc
+++ b/src/ownership.cc
@@ -1,5 +1,7 @@
 #include "radishrail/ownership.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -8,7 +10,6 @@
 #include <string_view>
 #include <utility>
 
-#include "absl/hash/hash.h"
 #include "absl/strings/str_cat.h"
 #include "nlohmann/json.hpp"
 #include "radishrail/random.h"
@@ -198,7 +199,11 @@
         store_(store),
         transport_(transport),
         membership_(membership),
-        random_(absl::HashOf(settings.vm, settings.incarnation)),
+        // Unlike absl::Hash this is the same in every process, so that tests
+        // can repeat a run.
+        random_(XXH64(settings.vm.data(),
+                      settings.vm.size(),
+                      settings.incarnation)),
         lease_prefix_("lease/" + settings.failure_domain + "/"),
         lease_key_(lease_prefix_ + settings.vm),
         ranges_key_("ranges/" + settings.failure_domain) {}
