Answer "unknown" once the release of a lease was sent

The release was committed and its response lost; another daemon took the ranges over at once and accepted a key, while the drained owner still believed in its lease and answered "not run". Ruled out: waiting for the read-back, since the takeover can come before it. Change: the lease counts as invalid from the moment the release is due.

--- a/src/ownership.cc
+++ b/src/ownership.cc
@@ -750,7 +750,8 @@
 // --- Validity ---
 
 absl::Time OwnershipController::Impl::ValidUntil() const {
-  if (!acquired_ || released_ || superseded_) {
+  // A release may be committed although its response is missing.
+  if (!acquired_ || releasing_ || released_ || superseded_) {
     return absl::InfinitePast();
   }
   absl::Time extended = absl::InfiniteFuture();
