--- a/benchmark/policy_benchmark.cc
+++ b/benchmark/policy_benchmark.cc
@@ -369,6 +369,7 @@
   }
   PolicyBenchmark benchmark(options, deployment);
   std::vector<Report> reports;
+  reports.reserve(policies.size());
   for (const auto& it : policies) {
     reports.push_back(benchmark.Run(it));
   }
--- a/src/best_tree.h
+++ b/src/best_tree.h
@@ -13,7 +13,7 @@
 // Unlike an order by value, it needs no rebuild when learned speeds change.
 class BestTree {
  public:
-  static constexpr double kNone = -std::numeric_limits<double>::infinity();
+  static constexpr double kNone = std::numeric_limits<double>::lowest();
 
   // Adds a leaf without a value and returns its number.
   uint32_t Add() {
