Make a tick of the slot broker independent of the size of the fleet

Cause: each tick visited all known upstreams; at 21,000 an idle broker took 21.7% of a core against 1.5% for all control. Ruled out: longer ticks, which delay loans for queued tasks. Change: a tick visits upstreams whose home is here, that are borrowed or in use; homes are checked every 500 ms.

--- a/src/slot_broker.cc
+++ b/src/slot_broker.cc
@@ -24,6 +24,8 @@
 // A reservation for a requester ends unless the request is repeated.
 constexpr absl::Duration kReservationLength = absl::Milliseconds(600);
 constexpr size_t kHomesAskedPerTick = 2;
+// Looking at 300 members costs more than the rest of a tick.
+constexpr absl::Duration kHomeCheckInterval = absl::Milliseconds(500);
 
 uint64_t RendezvousScore(const std::string& upstream, const MemberRecord& it) {
   const std::string text = absl::StrCat(upstream, "/", it.vm);
@@ -47,6 +49,7 @@
                    const std::string& failure_domain,
                    int slots) {
     Upstream& upstream = upstreams_[name];
+    upstream.name = name;
     upstream.failure_domain = failure_domain;
     upstream.slots = slots;
     members_hash_ = 0;  // recompute the homes at the next tick
@@ -57,19 +60,24 @@
     if (it != upstreams_.end()) {
       Publish(name, 0);
       published_.erase(name);
+      std::erase(homes_here_, &it->second);
+      std::erase(borrowed_, &it->second);
+      std::erase(in_use_, &it->second);
       upstreams_.erase(it);
     }
   }
 
   void SetDemand(int queued_tasks, const std::vector<SlotUse>& use) {
     queued_ = queued_tasks;
-    for (auto& [name, upstream] : upstreams_) {
-      upstream.running = 0;
+    for (Upstream* it : in_use_) {
+      it->running = 0;
     }
+    in_use_.clear();
     for (const auto& it : use) {
       const auto found = upstreams_.find(it.upstream);
       if (found != upstreams_.end()) {
         found->second.running = it.running;
+        in_use_.push_back(&found->second);
       }
     }
   }
@@ -77,7 +85,7 @@
   void Tick() {
     const absl::Time now = clock_.Monotonic();
     RefillBudget(now);
-    RecomputeHomes();
+    RecomputeHomes(now);
     ExpireLoans(now);
     PublishAllowances();
     RenewLoans(now);
@@ -91,10 +99,11 @@
     SlotGrant grant;
     grant.duration_ms =
         static_cast<uint32_t>(absl::ToInt64Milliseconds(kSlotLoanLength));
-    for (const auto& [name, upstream] : upstreams_) {
-      const auto it = upstream.lent.find(sender.vm);
-      if (it != upstream.lent.end() && it->second.slots > 0) {
-        grant.loans.push_back({name, static_cast<uint32_t>(it->second.slots)});
+    for (const Upstream* home : homes_here_) {
+      const auto it = home->lent.find(sender.vm);
+      if (it != home->lent.end() && it->second.slots > 0) {
+        grant.loans.push_back(
+            {home->name, static_cast<uint32_t>(it->second.slots)});
       }
     }
     grant.queued = static_cast<uint32_t>(queued_);
@@ -113,10 +122,10 @@
       home.ask_again =
           now + kEmptyGrantBackoff + absl::Milliseconds(random_.Below(100));
     }
-    for (auto& [name, upstream] : upstreams_) {
-      if (upstream.lender == sender.vm) {
-        upstream.borrowed = 0;
-        upstream.usable = 0;
+    for (Upstream* it : borrowed_) {
+      if (it->lender == sender.vm) {
+        it->borrowed = 0;
+        it->usable = 0;
       }
     }
     for (const auto& it : grant.loans) {
@@ -125,6 +134,10 @@
         continue;
       }
       found->second.lender = sender.vm;
+      if (std::find(borrowed_.begin(), borrowed_.end(), &found->second) ==
+          borrowed_.end()) {
+        borrowed_.push_back(&found->second);
+      }
       // A home never lends more slots than the upstream has.
       found->second.borrowed = std::min<int>(
           static_cast<int>(std::min<uint32_t>(it.slots, 1U << 20)),
@@ -153,6 +166,7 @@
   };
 
   struct Upstream {
+    std::string name;
     std::string failure_domain;
     int slots = 0;
     std::string home;
@@ -201,8 +215,11 @@
 
   int TotalAllowance() const {
     int n = 0;
-    for (const auto& [name, upstream] : upstreams_) {
-      n += Allowance(upstream);
+    for (const Upstream* it : homes_here_) {
+      n += Allowance(*it);
+    }
+    for (const Upstream* it : borrowed_) {
+      n += Allowance(*it);
     }
     return n;
   }
@@ -227,7 +244,11 @@
 
   // Homes depend on the reachable members only; they are recomputed when that
   // set or the set of upstreams changed.
-  void RecomputeHomes() {
+  void RecomputeHomes(absl::Time now) {
+    if (members_hash_ != 0 && now < next_home_check_) {
+      return;
+    }
+    next_home_check_ = now + kHomeCheckInterval;
     std::vector<MemberRecord> members = membership_.Reachable();
     members.push_back(membership_.self());
     uint64_t hash = 1;
@@ -240,8 +261,14 @@
       return;
     }
     members_hash_ = hash;
+    homes_here_.clear();
     for (auto& [name, upstream] : upstreams_) {
       AssignHome(name, upstream, members);
+      if (upstream.home == self()) {
+        homes_here_.push_back(&upstream);
+      } else {
+        Publish(name, Allowance(upstream));
+      }
     }
   }
 
@@ -278,13 +305,16 @@
   }
 
   void ExpireLoans(absl::Time now) {
-    for (auto& [name, upstream] : upstreams_) {
-      std::erase_if(upstream.lent,
-                    [&](const auto& it) { return it.second.until <= now; });
-      std::erase_if(upstream.reserved,
-                    [&](const auto& it) { return it.second.until <= now; });
-      if (upstream.borrowed > 0 && upstream.borrowed_until <= now) {
-        upstream.borrowed = 0;
+    for (Upstream* it : homes_here_) {
+      const auto is_over = [&](const auto& loan) {
+        return loan.second.until <= now;
+      };
+      std::erase_if(it->lent, is_over);
+      std::erase_if(it->reserved, is_over);
+    }
+    for (Upstream* it : borrowed_) {
+      if (it->borrowed > 0 && it->borrowed_until <= now) {
+        it->borrowed = 0;
       }
     }
   }
@@ -298,21 +328,24 @@
   }
 
   void PublishAllowances() {
-    for (const auto& [name, upstream] : upstreams_) {
-      Publish(name, Allowance(upstream));
+    for (const Upstream* it : homes_here_) {
+      Publish(it->name, Allowance(*it));
+    }
+    for (const Upstream* it : borrowed_) {
+      Publish(it->name, Allowance(*it));
     }
+    std::erase_if(borrowed_,
+                  [](const Upstream* it) { return it->borrowed == 0; });
   }
 
   void KeepLoans(const std::string& vm,
                  const std::vector<SlotLoan>& keep,
                  absl::Time now) {
-    for (auto& [name, upstream] : upstreams_) {
-      if (upstream.home != self()) {
-        continue;
-      }
-      const auto it =
-          std::find_if(keep.begin(), keep.end(),
-                       [&](const auto& loan) { return loan.upstream == name; });
+    for (Upstream* home : homes_here_) {
+      Upstream& upstream = *home;
+      const auto it = std::find_if(
+          keep.begin(), keep.end(),
+          [&](const auto& loan) { return loan.upstream == upstream.name; });
       if (it == keep.end()) {
         upstream.lent.erase(vm);
         continue;
@@ -353,8 +386,8 @@
   // have back; they are returned when their tasks have ended.
   void LimitLoans(const std::string& home, const SlotGrant& grant) {
     int borrowed = 0;
-    for (const auto& [name, upstream] : upstreams_) {
-      borrowed += upstream.lender == home ? upstream.borrowed : 0;
+    for (const Upstream* it : borrowed_) {
+      borrowed += it->lender == home ? it->borrowed : 0;
     }
     const int own = TotalAllowance() - borrowed;
     int excess =
@@ -363,10 +396,10 @@
     if (queued_ == 0 || grant.queued == 0) {
       return;  // idle loans are returned in any case; an idle home needs none
     }
-    for (auto& [name, upstream] : upstreams_) {
-      if (upstream.lender == home && excess > 0) {
-        const int n = std::min(excess, upstream.usable);
-        upstream.usable -= n;
+    for (Upstream* it : borrowed_) {
+      if (it->lender == home && excess > 0) {
+        const int n = std::min(excess, it->usable);
+        it->usable -= n;
         excess -= n;
       }
     }
@@ -375,13 +408,11 @@
   void LendIdleSlots(const std::string& vm,
                      const SlotRequest& request,
                      absl::Time now) {
-    for (auto& [name, upstream] : upstreams_) {
-      upstream.reserved.erase(vm);
-    }
     int lent = 0;
-    for (const auto& [name, upstream] : upstreams_) {
-      const auto it = upstream.lent.find(vm);
-      lent += it == upstream.lent.end() ? 0 : it->second.slots;
+    for (Upstream* home : homes_here_) {
+      home->reserved.erase(vm);
+      const auto it = home->lent.find(vm);
+      lent += it == home->lent.end() ? 0 : it->second.slots;
     }
     const int fair =
         FairLoan(request.queued,
@@ -390,12 +421,7 @@
     int wanted = std::min<int>(
         static_cast<int>(std::min<uint32_t>(request.wanted, 1U << 20)),
         std::max(0, fair - lent));
-    std::vector<Upstream*> candidates;
-    for (auto& [name, upstream] : upstreams_) {
-      if (upstream.home == self()) {
-        candidates.push_back(&upstream);
-      }
-    }
+    std::vector<Upstream*> candidates = homes_here_;
     std::stable_sort(candidates.begin(), candidates.end(),
                      [this](const Upstream* a, const Upstream* b) {
                        return IdleSlots(*a) > IdleSlots(*b);
@@ -440,7 +466,8 @@
   // of them while tasks are queued.
   std::vector<SlotLoan> LoansToKeep(const std::string& home) const {
     std::vector<SlotLoan> keep;
-    for (const auto& [name, upstream] : upstreams_) {
+    for (const Upstream* it : borrowed_) {
+      const Upstream& upstream = *it;
       if (upstream.lender != home || upstream.borrowed == 0) {
         continue;
       }
@@ -448,7 +475,7 @@
           std::max(queued_ > 0 ? upstream.usable : 0, upstream.running);
       const int n = std::min(upstream.borrowed, needed);
       if (n > 0) {
-        keep.push_back({name, static_cast<uint32_t>(n)});
+        keep.push_back({upstream.name, static_cast<uint32_t>(n)});
       }
     }
     return keep;
@@ -464,11 +491,10 @@
     request.queued = static_cast<uint32_t>(queued_);
     request.slots = static_cast<uint32_t>(TotalAllowance());
     // Loans that are returned must not be used after the message is sent.
-    for (auto& [name, upstream] : upstreams_) {
-      if (upstream.lender == home.vm) {
-        const int needed =
-            std::max(queued_ > 0 ? upstream.usable : 0, upstream.running);
-        upstream.borrowed = std::min(upstream.borrowed, needed);
+    for (Upstream* it : borrowed_) {
+      if (it->lender == home.vm) {
+        const int needed = std::max(queued_ > 0 ? it->usable : 0, it->running);
+        it->borrowed = std::min(it->borrowed, needed);
       }
     }
     Home& state = homes_[home.vm];
@@ -481,10 +507,10 @@
 
   void RenewLoans(absl::Time now) {
     std::map<std::string, bool> lenders;
-    for (auto& [name, upstream] : upstreams_) {
-      if (upstream.borrowed > 0 && upstream.renew_at <= now) {
-        lenders[upstream.lender] = true;
-        upstream.renew_at = now + kRenewAfter;
+    for (Upstream* it : borrowed_) {
+      if (it->borrowed > 0 && it->renew_at <= now) {
+        lenders[it->lender] = true;
+        it->renew_at = now + kRenewAfter;
       }
     }
     for (const auto& [vm, unused] : lenders) {
@@ -500,8 +526,8 @@
   // the own failure domain, elsewhere when all homes there granted nothing.
   void BorrowSlots(absl::Time now) {
     int running = 0;
-    for (const auto& [name, upstream] : upstreams_) {
-      running += upstream.running;
+    for (const Upstream* it : in_use_) {
+      running += it->running;
     }
     const int free = TotalAllowance() - running;
     const int wanted = queued_ - std::max(0, free);
@@ -535,11 +561,17 @@
   PeerTransport& transport_;
   const Membership& membership_;
   std::map<std::string, Upstream> upstreams_;
+  // The upstreams that a tick looks at; it must not cost more in a larger
+  // fleet. They point into `upstreams_`.
+  std::vector<Upstream*> homes_here_;
+  std::vector<Upstream*> borrowed_;
+  std::vector<Upstream*> in_use_;
   std::map<std::string, Home> homes_;
   std::map<std::string, int> published_;
   std::vector<SlotAllowance> changes_;
   int queued_ = 0;
   uint64_t members_hash_ = 0;
+  absl::Time next_home_check_ = absl::InfinitePast();
   absl::Time last_refill_ = absl::InfinitePast();
   double request_budget_ = kMaxSlotRequestsPerSecond / 4.0;
   uint64_t messages_sent_ = 0;
