--- a/benchmark/policy_benchmark.cc
+++ b/benchmark/policy_benchmark.cc
@@ -32,6 +32,7 @@
   double aging = 0;         // 0: the default
   double start_factor = 0;  // 0: the default
   bool check = false;
+  bool allow_known_missed = false;
 };
 
 enum class Row {
@@ -298,8 +299,8 @@
         [](const Report& it) { return it.domains_per_job; });
 }
 
-// Prints met and missed targets; returns false if a row that is met today is
-// missed. `known_missed` lists the rows that are missed today.
+// Prints met and missed targets; returns false if one is missed that is not in
+// `known_missed`.
 bool CheckReport(const Report& report, const std::vector<Row>& known_missed) {
   bool ok = true;
   for (size_t i = 0; i < kRowCount; ++i) {
@@ -346,7 +347,9 @@
   app.add_option("--start-factor", options.start_factor,
                  "time from its start that a job needs, see the settings");
   app.add_flag("--check", options.check,
-               "fail if a target that is met today is missed");
+               "fail if a target of docs/design.md is missed");
+  app.add_flag("--allow-known-missed", options.allow_known_missed,
+               "with --check: tolerate p50 at 70% load, see KNOWN-RED.txt");
   CLI11_PARSE(app, argc, argv);
 
   Deployment deployment;
@@ -375,7 +378,11 @@
   }
   PrintReport(options, policies, reports);
   if (options.check) {
-    return CheckReport(reports[1], {Row::kP50At70, Row::kPromisedAt2}) ? 0 : 1;
+    std::vector<Row> known_missed;
+    if (options.allow_known_missed) {
+      known_missed = {Row::kP50At70};
+    }
+    return CheckReport(reports[1], known_missed) ? 0 : 1;
   }
   return 0;
 }
