Split the job table into modules with one job each

Cause: src/job_controller.cc had grown to 1,133 lines and held retry budgets, learned run times, remembered keys, metrics and the control flow. Ruled out: one model of run times for the controller and the scheduler. The controller's is a mean of logarithms with bounded steps that stays zero for five runs; RunTimeTable keeps an arithmetic mean with references, declared hints and classes of long kinds. Sharing it would change ejection or placement. Change: retry_budget (token buckets), run_time_model, key_table (remembered keys and their expiry, export and import), job_record.h and job_metrics.h. The budget of an environment is now added at its first use instead of with its first key; it starts full and cannot be filled further before, so the result is the same. An import reads the clock once instead of once per new key. Tests of their own are added for retry_budget and run_time_model; key_table is covered by job_controller_test only. Figures: job_controller.cc 1,133 lines before, 857 after.

--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -1,7 +1,6 @@
 #include "radishrail/job_controller.h"
 
 #include <algorithm>
-#include <cmath>
 #include <deque>
 #include <utility>
 
@@ -10,141 +9,37 @@
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/string_view.h"
+#include "job_metrics.h"
+#include "job_record.h"
+#include "key_table.h"
 #include "radishrail/job_json.h"
+#include "retry_budget.h"
+#include "run_time_model.h"
 
 namespace radishrail {
 
 namespace {
 
+using internal::Job;
+using internal::KeyRecord;
+using internal::RetryPermission;
+using internal::Task;
+
 // No task is handed over later than this before its start-by time.
 constexpr absl::Duration kTransmissionMargin = absl::Milliseconds(50);
-// Covers keys with a time stamp up to 1 s in the future, which their owner
-// accepts until the resubmission window after that stamp has passed.
-constexpr absl::Duration kRetentionMargin = absl::Seconds(5);
 // Delay of a task whose upstream stopped accepting between the decision of the
 // scheduler and the hand-over.
 constexpr absl::Duration kPlacementRetryDelay = absl::Milliseconds(10);
 constexpr absl::Duration kMaxBackoff = absl::Seconds(2);
 
-// Bounds of the work of one Tick. At one Tick in 10 ms, keys are forgotten 12
-// times as fast as 4,000 jobs/s add them.
-constexpr size_t kForgottenKeysPerTick = 512;
+// Bounds of the work of one Tick.
 constexpr size_t kExpiredJobsPerTick = 4096;
 constexpr size_t kPlacementsPerTick = 10000;
 
-// Retries that a budget allows at once and, without traffic, per second.
-constexpr double kRetryBurst = 100;
-constexpr double kRetriesPerSecond = 1;
-// Retries that one upstream may cause, as a share of the first attempts there.
-constexpr double kUpstreamRetryShare = 0.2;
-constexpr double kUpstreamRetryBurst = 20;
-constexpr size_t kMaxUpstreamBudgets = 50000;
-
-// Callers choose the names of kinds, so their number is bounded.
-constexpr size_t kMaxKinds = 10000;
-constexpr int kMinKindSamples = 5;
-constexpr double kMinKindWeight = 0.02;
-constexpr double kMaxKindLogStep = 2.0;
-
-constexpr std::string_view kMintedPrefix = "k1.";
-
 absl::string_view Absl(std::string_view text) {
   return {text.data(), text.size()};
 }
 
-// Token bucket that first attempts and time fill and retries drain.
-class RetryBudget {
- public:
-  RetryBudget(double burst, absl::Time now)
-      : burst_(burst), tokens_(burst), filled_(now) {}
-
-  void OnFirstAttempt(double share) { Add(share); }
-
-  bool HasToken(absl::Time now) {
-    Add(absl::ToDoubleSeconds(now - filled_) * kRetriesPerSecond);
-    filled_ = now;
-    return tokens_ >= 1;
-  }
-  void Take() { tokens_ -= 1; }
-
- private:
-  void Add(double n) { tokens_ = std::min(burst_, tokens_ + n); }
-
-  double burst_;
-  double tokens_;
-  absl::Time filled_;
-};
-
-// Learned run time of a kind at mean speed: a mean of logarithms, in which a
-// run that is many times longer than the others counts little.
-struct KindModel {
-  double log_seconds = 0;
-  int samples = 0;
-
-  absl::Duration expected() const {
-    return samples < kMinKindSamples ? absl::ZeroDuration()
-                                     : absl::Seconds(std::exp(log_seconds));
-  }
-
-  void Learn(absl::Duration run, double speed) {
-    if (run <= absl::ZeroDuration() || speed <= 0) {
-      return;
-    }
-    const double sample = std::log(absl::ToDoubleSeconds(run) * speed);
-    ++samples;
-    const double weight = std::max(kMinKindWeight, 1.0 / samples);
-    const double step = samples == 1
-                            ? sample - log_seconds
-                            : std::clamp(sample - log_seconds, -kMaxKindLogStep,
-                                         kMaxKindLogStep);
-    log_seconds += weight * step;
-  }
-};
-
-struct Environment {
-  std::string name;
-  RetryBudget budget;
-};
-
-struct Task {
-  TaskStatus status = TaskStatus::kQueued;
-  int attempts = 0;  // hand-overs so far
-  UpstreamId upstream = 0;
-  uint32_t kind = 0;
-  double speed = 1;  // of the upstream at the hand-over
-  absl::Time started;
-  std::string output;
-  Error error;
-};
-
-// A key that is remembered. Small, since a daemon keeps millions.
-struct KeyRecord {
-  std::string key;
-  std::string answer_json;  // empty: in progress, or unknown after an import
-  uint64_t body_hash = 0;
-  uint64_t job = 0;  // 0: not in progress here
-  int64_t accepted_unix_ms = 0;
-  uint32_t environment = 0;
-};
-
-// A job in progress.
-struct Job {
-  uint64_t number = 0;
-  KeyRecord* record = nullptr;
-  JobSpec spec;
-  std::shared_ptr<const VersionedDocument> document;
-  std::vector<Task> tasks;
-  std::vector<JobController::AnswerCallback> callbacks;
-  absl::Time accepted;
-  absl::Time start_by;
-  size_t queued = 0;
-  size_t running = 0;
-  size_t done = 0;
-  bool dispatched = false;  // a task was handed to the client
-  bool cancelled = false;
-  Error error;  // first reason for which the job cannot complete
-};
-
 struct Delivery {
   JobController::AnswerCallback callback;
   std::shared_ptr<const JobAnswer> answer;
@@ -192,25 +87,25 @@
         upstreams_(upstreams),
         client_(client),
         timeline_(timeline),
-        counters_(metrics) {}
+        metrics_(metrics) {}
 
-  bool Knows(std::string_view key) const { return FindRecord(key) != nullptr; }
+  bool Knows(std::string_view key) const { return keys_.Find(key) != nullptr; }
 
   bool Join(const JobSpec& job, AnswerCallback callback) {
     const CallScope scope(*this);
-    KeyRecord* record = FindRecord(job.key);
+    KeyRecord* record = keys_.Find(job.key);
     if (record == nullptr) {
       return false;
     }
-    if (environments_[record->environment].name != job.environment ||
+    if (keys_.EnvironmentName(*record) != job.environment ||
         record->body_hash != job.body_hash) {
-      counters_.conflicts.Add();
+      metrics_.conflicts.Add();
       RecordEvent(EventType::kJobRefused, job.key, "", "", "conflict");
       Deliver(std::move(callback),
               NotRunAnswer(job, ConflictError(), absl::ZeroDuration()));
       return true;
     }
-    counters_.joined.Add();
+    metrics_.joined.Add();
     RecordEvent(EventType::kJobJoined, job.key);
     if (Job* running = FindJob(record->job)) {
       running->callbacks.push_back(std::move(callback));
@@ -243,7 +138,7 @@
   }
 
   std::optional<JobAnswer> Find(std::string_view key) const {
-    const KeyRecord* record = FindRecord(key);
+    const KeyRecord* record = keys_.Find(key);
     if (record == nullptr) {
       return std::nullopt;
     }
@@ -254,13 +149,13 @@
 
   bool Cancel(std::string_view key) {
     const CallScope scope(*this);
-    const KeyRecord* record = FindRecord(key);
+    const KeyRecord* record = keys_.Find(key);
     if (record == nullptr) {
       return false;
     }
     Job* job = FindJob(record->job);
     if (job != nullptr && job->error.ok()) {
-      counters_.cancelled.Add();
+      metrics_.cancelled.Add();
       RecordEvent(EventType::kJobCancelled, job->spec.key);
       job->cancelled = true;
       job->error = {ErrorCode::kCancelled, Step::kQueue, "",
@@ -276,111 +171,25 @@
     ExpireJobs();
     RefuseHopeless();
     PlaceTasks();
-    ForgetKeys();
+    keys_.RemoveExpired(clock_.Monotonic());
     RecordTransitions();
-    counters_.in_progress.Set(static_cast<int64_t>(jobs_.size()));
-    counters_.remembered.Set(static_cast<int64_t>(records_.size()));
+    metrics_.in_progress.Set(static_cast<int64_t>(jobs_.size()));
+    metrics_.remembered.Set(static_cast<int64_t>(keys_.size()));
   }
 
   std::vector<RememberedKey> Remembered(
       const std::function<bool(std::string_view)>& selects) const {
-    std::vector<RememberedKey> out;
-    for (const auto& [key, record] : records_) {
-      if (!record->key.starts_with(kMintedPrefix) && selects(record->key)) {
-        out.push_back({record->key, environments_[record->environment].name,
-                       record->body_hash, !record->answer_json.empty(),
-                       record->accepted_unix_ms, record->answer_json});
-      }
-    }
-    return out;
+    return keys_.Export(selects);
   }
 
   void Import(const std::vector<RememberedKey>& keys) {
-    for (const auto& it : keys) {
-      // A minted key belongs to its incarnation for good.
-      if (it.key.starts_with(kMintedPrefix)) {
-        continue;
-      }
-      KeyRecord* record = FindRecord(it.key);
-      if (record == nullptr) {
-        record = AddRecord(it.key, it.environment, it.body_hash,
-                           it.accepted_unix_ms);
-        Retain(*record);
-      }
-      // A key that was accepted here keeps its own answer.
-      if (it.finished && record->job == 0 && record->answer_json.empty()) {
-        record->answer_json = it.answer_json;
-      }
-    }
+    keys_.Import(keys, clock_.Monotonic());
   }
 
   size_t jobs_in_progress() const { return jobs_.size(); }
-  size_t remembered_keys() const { return records_.size(); }
+  size_t remembered_keys() const { return keys_.size(); }
 
  private:
-  struct Counters {
-    explicit Counters(Metrics& metrics)
-        : accepted(metrics.counter("radishrail_jobs_accepted_total",
-                                   "Jobs accepted")),
-          refused(metrics.counter("radishrail_jobs_refused_total",
-                                  "Jobs refused before or after admission")),
-          joined(metrics.counter("radishrail_jobs_joined_total",
-                                 "Resubmissions of a remembered key")),
-          conflicts(metrics.counter("radishrail_jobs_conflicts_total",
-                                    "Keys used for another request")),
-          cancelled(metrics.counter("radishrail_jobs_cancelled_total",
-                                    "Jobs cancelled while in progress")),
-          complete(metrics.counter("radishrail_jobs_complete_total",
-                                   "Jobs answered complete")),
-          failed(metrics.counter("radishrail_jobs_failed_total",
-                                 "Jobs answered failed")),
-          not_run(metrics.counter("radishrail_jobs_not_run_total",
-                                  "Accepted jobs answered not_run")),
-          handed_over(metrics.counter("radishrail_tasks_handed_over_total",
-                                      "Tasks handed to upstreams")),
-          not_started(metrics.counter("radishrail_tasks_not_started_total",
-                                      "Hand-overs that did not start")),
-          retries(metrics.counter("radishrail_tasks_retried_total",
-                                  "Tasks queued again")),
-          retries_denied(metrics.counter("radishrail_task_retries_denied_total",
-                                         "Retries refused by a budget")),
-          dropped_results(
-              metrics.counter("radishrail_task_results_dropped_total",
-                              "Late or duplicate results")),
-          bad_placements(
-              metrics.counter("radishrail_placements_invalid_total",
-                              "Placements of tasks that are not queued")),
-          in_progress(metrics.gauge("radishrail_jobs_in_progress",
-                                    "Jobs without a final status")),
-          remembered(metrics.gauge("radishrail_keys_remembered",
-                                   "Keys kept for resubmissions")),
-          response(metrics.histogram("radishrail_job_response_seconds",
-                                     "Acceptance to answer")),
-          queued(metrics.histogram("radishrail_task_queued_seconds",
-                                   "Acceptance of the job to first hand-over")),
-          run(metrics.histogram("radishrail_task_run_seconds",
-                                "Run time of completed tasks")) {}
-    Counter& accepted;
-    Counter& refused;
-    Counter& joined;
-    Counter& conflicts;
-    Counter& cancelled;
-    Counter& complete;
-    Counter& failed;
-    Counter& not_run;
-    Counter& handed_over;
-    Counter& not_started;
-    Counter& retries;
-    Counter& retries_denied;
-    Counter& dropped_results;
-    Counter& bad_placements;
-    Gauge& in_progress;
-    Gauge& remembered;
-    Histogram& response;
-    Histogram& queued;
-    Histogram& run;
-  };
-
   // One call from outside. The outermost one delivers answers when the table
   // is consistent, so that a callback may call the controller again.
   class CallScope {
@@ -401,11 +210,6 @@
     Impl& impl_;
   };
 
-  KeyRecord* FindRecord(std::string_view key) const {
-    const auto it = records_.find(Absl(key));
-    return it == records_.end() ? nullptr : it->second.get();
-  }
-
   Job* FindJob(uint64_t number) const {
     const auto it = jobs_.find(number);
     return it == jobs_.end() ? nullptr : it->second.get();
@@ -478,7 +282,7 @@
   }
 
   void Refuse(const JobSpec& spec, Refusal refusal, AnswerCallback callback) {
-    counters_.refused.Add();
+    metrics_.refused.Add();
     RecordEvent(EventType::kJobRefused, spec.key, "", "",
                 ErrorCodeName(refusal.error.code));
     Deliver(std::move(callback),
@@ -490,12 +294,12 @@
            std::shared_ptr<const VersionedDocument> document,
            AnswerCallback callback,
            absl::Time now) {
-    counters_.accepted.Add();
+    metrics_.accepted.Add();
     RecordEvent(EventType::kJobAccepted, spec.key, "", "", "",
                 document->version);
     auto job = std::make_unique<Job>();
     job->number = number;
-    job->record = AddRecord(spec.key, spec.environment, spec.body_hash,
+    job->record = keys_.Add(spec.key, spec.environment, spec.body_hash,
                             absl::ToUnixMillis(clock_.Wall()));
     job->record->job = number;
     job->tasks.resize(spec.tasks.size());
@@ -510,53 +314,13 @@
     jobs_.emplace(number, std::move(job));
   }
 
-  // Kinds of different environments are learned separately.
   void SetKinds(const JobSpec& spec, std::vector<Task>& tasks) {
     for (size_t i = 0; i < tasks.size(); ++i) {
       const std::string& kind = spec.tasks[i].kind;
       tasks[i].kind = i > 0 && kind == spec.tasks[i - 1].kind
                           ? tasks[i - 1].kind
-                          : KindNumber(spec.environment, kind);
-    }
-  }
-
-  uint32_t KindNumber(const std::string& environment, const std::string& kind) {
-    std::string name = absl::StrCat(environment, "\n", kind);
-    const auto it = kind_numbers_.find(name);
-    if (it != kind_numbers_.end()) {
-      return it->second;
-    }
-    if (kinds_.size() >= kMaxKinds) {
-      return 0;  // shared by all kinds past the bound; never learned
-    }
-    const auto number = static_cast<uint32_t>(kinds_.size());
-    kinds_.emplace_back();
-    kind_numbers_.emplace(std::move(name), number);
-    return number;
-  }
-
-  KeyRecord* AddRecord(const std::string& key,
-                       const std::string& environment,
-                       uint64_t body_hash,
-                       int64_t accepted_unix_ms) {
-    auto record = std::make_unique<KeyRecord>();
-    record->key = key;
-    record->environment = EnvironmentNumber(environment);
-    record->body_hash = body_hash;
-    record->accepted_unix_ms = accepted_unix_ms;
-    KeyRecord* result = record.get();
-    records_.emplace(Absl(result->key), std::move(record));
-    return result;
-  }
-
-  uint32_t EnvironmentNumber(const std::string& name) {
-    const auto [it, inserted] = environment_numbers_.emplace(
-        name, static_cast<uint32_t>(environments_.size()));
-    if (inserted) {
-      environments_.push_back(
-          {name, RetryBudget(kRetryBurst, clock_.Monotonic())});
+                          : run_times_.KindNumber(spec.environment, kind);
     }
-    return it->second;
   }
 
   // --- Hand-over ---
@@ -575,13 +339,13 @@
     const TaskRef ref = placement.task;
     Job* job = FindJob(ref.job);
     if (job == nullptr || ref.task >= job->tasks.size()) {
-      counters_.bad_placements.Add();
+      metrics_.bad_placements.Add();
       scheduler_.Finish(ref, std::nullopt);
       return;
     }
     // Whatever the scheduler says, a task in progress is not started again.
     if (job->tasks[ref.task].status != TaskStatus::kQueued) {
-      counters_.bad_placements.Add();
+      metrics_.bad_placements.Add();
       return;
     }
     const std::optional<UpstreamView> upstream =
@@ -620,10 +384,12 @@
     task.speed = upstream.speed;
     task.started = now;
     if (task.attempts == 1) {
-      counters_.queued.Record(now - job.accepted);
-      CountFirstAttempt(job, upstream.id, now);
+      metrics_.queued.Record(now - job.accepted);
+      retry_budgets_.OnFirstAttempt(
+          job.record->environment, upstream.id,
+          job.document->document.retry.budget_percent / 100.0, now);
     }
-    counters_.handed_over.Add();
+    metrics_.handed_over.Add();
     RecordEvent(EventType::kTaskHandedOver, job.spec.key, spec.id,
                 upstream.info.vm, "", job.document->version);
     TaskStart start;
@@ -647,21 +413,6 @@
                   });
   }
 
-  void CountFirstAttempt(const Job& job, UpstreamId upstream, absl::Time now) {
-    environments_[job.record->environment].budget.OnFirstAttempt(
-        job.document->document.retry.budget_percent / 100.0);
-    if (upstream_budgets_.size() >= kMaxUpstreamBudgets) {
-      upstream_budgets_.clear();
-    }
-    UpstreamBudget(upstream, now).OnFirstAttempt(kUpstreamRetryShare);
-  }
-
-  RetryBudget& UpstreamBudget(UpstreamId upstream, absl::Time now) {
-    return upstream_budgets_
-        .try_emplace(upstream, RetryBudget(kUpstreamRetryBurst, now))
-        .first->second;
-  }
-
   // --- Results ---
 
   void OnResult(TaskRef ref,
@@ -679,7 +430,7 @@
     if (result.run_time <= absl::ZeroDuration()) {
       result.run_time = clock_.Monotonic() - task.started;
     }
-    upstreams_.OnResult(upstream, result, kinds_[task.kind].expected());
+    upstreams_.OnResult(upstream, result, run_times_.Expected(task.kind));
     switch (result.outcome) {
       case TaskOutcome::kDone:
         OnDone(*job, ref, std::move(result));
@@ -704,7 +455,7 @@
             TaskRef ref,
             UpstreamId upstream,
             const TaskResult& result) {
-    counters_.dropped_results.Add();
+    metrics_.dropped_results.Add();
     const std::optional<UpstreamView> view = upstreams_.Find(upstream);
     if (view.has_value() &&
         (result.upstream_leaving ||
@@ -718,10 +469,8 @@
 
   void OnDone(Job& job, TaskRef ref, TaskResult result) {
     Task& task = job.tasks[ref.task];
-    counters_.run.Record(result.run_time);
-    if (task.kind != 0) {
-      kinds_[task.kind].Learn(result.run_time, task.speed);
-    }
+    metrics_.run.Record(result.run_time);
+    run_times_.Learn(task.kind, result.run_time, task.speed);
     scheduler_.Finish(ref, result.run_time);
     task.output = std::move(result.output);
     FinishTask(job, ref.task, TaskStatus::kDone, {});
@@ -758,7 +507,7 @@
   void OnNotStarted(Job& job, TaskRef ref, Error error) {
     Task& task = job.tasks[ref.task];
     error = WithContext(job, ref, std::move(error), ErrorCode::kUpstreamBusy);
-    counters_.not_started.Add();
+    metrics_.not_started.Add();
     RecordEvent(EventType::kTaskNotStarted, job.spec.key,
                 job.spec.tasks[ref.task].id, error.peer,
                 ErrorCodeName(error.code));
@@ -769,7 +518,7 @@
       FinishTask(job, ref.task, TaskStatus::kNotRun, std::move(error));
       return;
     }
-    counters_.retries.Add();
+    metrics_.retries.Add();
     task.status = TaskStatus::kQueued;
     --job.running;
     ++job.queued;
@@ -807,23 +556,19 @@
                       "the deadline passes before the next attempt");
       return false;
     }
-    RetryBudget& of_environment = environments_[job.record->environment].budget;
-    RetryBudget& of_upstream = UpstreamBudget(task.upstream, now);
-    // Both are asked, so that both are filled up to the present.
-    const bool environment_allows = of_environment.HasToken(now);
-    const bool upstream_allows = of_upstream.HasToken(now);
-    if (!environment_allows || !upstream_allows) {
-      counters_.retries_denied.Add();
-      error->detail = absl::StrCat(
-          environment_allows ? "budget of the upstream"
-                             : "budget of the environment",
-          " after ", Absl(ErrorCodeName(error->code)), " ", error->detail);
-      error->code = ErrorCode::kRetryBudgetExhausted;
-      return false;
+    const RetryPermission permission =
+        retry_budgets_.Request(job.record->environment, task.upstream, now);
+    if (permission == RetryPermission::kGranted) {
+      return true;
     }
-    of_environment.Take();
-    of_upstream.Take();
-    return true;
+    metrics_.retries_denied.Add();
+    error->detail = absl::StrCat(permission == RetryPermission::kUpstreamEmpty
+                                     ? "budget of the upstream"
+                                     : "budget of the environment",
+                                 " after ", Absl(ErrorCodeName(error->code)),
+                                 " ", error->detail);
+    error->code = ErrorCode::kRetryBudgetExhausted;
+    return false;
   }
 
   // --- End of tasks and jobs ---
@@ -875,12 +620,12 @@
 
   void End(Job& job) {
     JobAnswer answer = MakeAnswer(job);
-    counters_.response.Record(clock_.Monotonic() - job.accepted);
+    metrics_.response.Record(clock_.Monotonic() - job.accepted);
     RecordEvent(EventType::kJobAnswered, job.spec.key, "", "",
                 JobStatusName(answer.status), job.document->version);
-    (answer.status == JobStatus::kComplete ? counters_.complete
-     : answer.status == JobStatus::kFailed ? counters_.failed
-                                           : counters_.not_run)
+    (answer.status == JobStatus::kComplete ? metrics_.complete
+     : answer.status == JobStatus::kFailed ? metrics_.failed
+                                           : metrics_.not_run)
         .Add();
     KeyRecord& record = *job.record;
     record.job = 0;
@@ -890,9 +635,9 @@
     if (answer.status != JobStatus::kNotRun || job.cancelled) {
       record.answer_json = JobAnswerToJson(answer);
       record.answer_json.shrink_to_fit();
-      Retain(record);
+      keys_.Retain(record, clock_.Monotonic());
     } else {
-      records_.erase(Absl(record.key));
+      keys_.Remove(record);
     }
     const auto shared = std::make_shared<const JobAnswer>(std::move(answer));
     for (auto& it : job.callbacks) {
@@ -956,7 +701,7 @@
     }
     JobAnswer answer;
     answer.key = record.key;
-    answer.environment = environments_[record.environment].name;
+    answer.environment = keys_.EnvironmentName(record);
     answer.status = JobStatus::kFailed;
     answer.error = {ErrorCode::kOutcomeUnknown, Step::kOwnership, "",
                     "the former owner of the key had not finished the job"};
@@ -995,7 +740,7 @@
         result.error.code = ErrorCode::kDeadlineExceeded;
         result.run_time = now - task.started;
         upstreams_.OnResult(task.upstream, result,
-                            kinds_[task.kind].expected());
+                            run_times_.Expected(task.kind));
         scheduler_.Finish({job.number, i}, std::nullopt);
         task.status = TaskStatus::kUnknown;
         task.error = WithContext(job, {job.number, i}, result.error,
@@ -1012,7 +757,7 @@
       if (job == nullptr || job->dispatched || !job->error.ok()) {
         continue;
       }
-      counters_.refused.Add();
+      metrics_.refused.Add();
       RecordEvent(EventType::kJobRefused, job->spec.key, "", "", "hopeless");
       job->error = {ErrorCode::kOverloaded, Step::kQueue, "",
                     "the promised response time can no longer be met"};
@@ -1021,22 +766,6 @@
     }
   }
 
-  void Retain(KeyRecord& record) {
-    forget_queue_.emplace_back(
-        clock_.Monotonic() + kResubmissionWindow + kRetentionMargin, &record);
-  }
-
-  // All keys are retained for the same time, so the queue is in order.
-  void ForgetKeys() {
-    const absl::Time now = clock_.Monotonic();
-    for (size_t n = 0; n < kForgottenKeysPerTick && !forget_queue_.empty() &&
-                       forget_queue_.front().first <= now;
-         ++n) {
-      records_.erase(Absl(forget_queue_.front().second->key));
-      forget_queue_.pop_front();
-    }
-  }
-
   void RecordTransitions() {
     for (const auto& it : upstreams_.TakeTransitions()) {
       const EventType type =
@@ -1053,18 +782,13 @@
   UpstreamRegistry& upstreams_;
   UpstreamClient& client_;
   Timeline& timeline_;
-  Counters counters_;
+  internal::JobMetrics metrics_;
 
-  // The keys point into the records.
-  absl::flat_hash_map<absl::string_view, std::unique_ptr<KeyRecord>> records_;
-  std::deque<std::pair<absl::Time, KeyRecord*>> forget_queue_;
+  internal::KeyTable keys_;
   absl::flat_hash_map<uint64_t, std::unique_ptr<Job>> jobs_;
   absl::btree_set<std::pair<absl::Time, uint64_t>> deadlines_;
-  absl::flat_hash_map<std::string, uint32_t> environment_numbers_;
-  std::vector<Environment> environments_;
-  absl::flat_hash_map<UpstreamId, RetryBudget> upstream_budgets_;
-  absl::flat_hash_map<std::string, uint32_t> kind_numbers_;
-  std::vector<KindModel> kinds_{1};  // number 0 is never learned
+  internal::RetryBudgets retry_budgets_;
+  internal::RunTimeModel run_times_;
   std::deque<Delivery> deliveries_;
   int depth_ = 0;
   uint64_t next_job_ = 1;
--- /dev/null
+++ b/src/retry_budget.h
@@ -0,0 +1,60 @@
+#ifndef RADISHRAIL_SRC_RETRY_BUDGET_H_
+#define RADISHRAIL_SRC_RETRY_BUDGET_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "radishrail/scheduler.h"
+
+namespace radishrail::internal {
+
+// Token bucket that first attempts and time fill and retries drain.
+class RetryBudget {
+ public:
+  RetryBudget(double burst, absl::Time now)
+      : burst_(burst), tokens_(burst), filled_(now) {}
+
+  void OnFirstAttempt(double share) { Add(share); }
+  // Fills the bucket up to `now` first.
+  bool HasToken(absl::Time now);
+  // Call it only after `HasToken` returned true.
+  void Take() { tokens_ -= 1; }
+
+ private:
+  void Add(double n);
+
+  double burst_;
+  double tokens_;
+  absl::Time filled_;
+};
+
+enum class RetryPermission { kGranted, kEnvironmentEmpty, kUpstreamEmpty };
+
+// Retry budgets of all environments and upstreams. A retry needs a token of
+// both.
+class RetryBudgets {
+ public:
+  // `share` is the number of retries that the environment earns by the attempt.
+  void OnFirstAttempt(uint32_t environment,
+                      UpstreamId upstream,
+                      double share,
+                      absl::Time now);
+  // Takes a token of both budgets, or of neither.
+  RetryPermission Request(uint32_t environment,
+                          UpstreamId upstream,
+                          absl::Time now);
+
+ private:
+  RetryBudget& OfEnvironment(uint32_t environment, absl::Time now);
+  RetryBudget& OfUpstream(UpstreamId upstream, absl::Time now);
+
+  std::vector<RetryBudget> environments_;
+  absl::flat_hash_map<UpstreamId, RetryBudget> upstreams_;
+};
+
+}  // namespace radishrail::internal
+
+#endif  // RADISHRAIL_SRC_RETRY_BUDGET_H_
--- /dev/null
+++ b/src/run_time_model.h
@@ -0,0 +1,38 @@
+#ifndef RADISHRAIL_SRC_RUN_TIME_MODEL_H_
+#define RADISHRAIL_SRC_RUN_TIME_MODEL_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+
+namespace radishrail::internal {
+
+// Learned run times of kinds of tasks at mean upstream speed. Kinds of
+// different environments are learned separately.
+class RunTimeModel {
+ public:
+  // Finds or adds a kind. Returns 0 for kinds past the bound.
+  uint32_t KindNumber(const std::string& environment, const std::string& kind);
+  // Zero until enough tasks of the kind have completed.
+  absl::Duration Expected(uint32_t kind) const;
+  // `speed` is that of the upstream that ran the task.
+  void Learn(uint32_t kind, absl::Duration run, double speed);
+
+ private:
+  // A mean of logarithms, in which a run that is many times longer than the
+  // others counts little.
+  struct Kind {
+    double log_seconds = 0;
+    int samples = 0;
+  };
+
+  absl::flat_hash_map<std::string, uint32_t> numbers_;
+  std::vector<Kind> kinds_{1};  // number 0 is never learned
+};
+
+}  // namespace radishrail::internal
+
+#endif  // RADISHRAIL_SRC_RUN_TIME_MODEL_H_
