Build "not run" and "unknown" answers in one place

Cause: src/filter.cc and src/job_controller.cc each had a function that builds a "not run" answer, and the job table built an "unknown" answer a third time. Ruled out: one form for all "not run" answers. The request filters repeat the error of the job in each task, refusals of the job table leave the tasks without an error. Conclusion: one piece builds these answers without a change of responses.

--- a/include/radishrail/filter.h
+++ b/include/radishrail/filter.h
@@ -13,6 +13,7 @@
 #include "radishrail/document_controller.h"
 #include "radishrail/error.h"
 #include "radishrail/job.h"
+#include "radishrail/job_answers.h"
 #include "radishrail/job_key.h"
 #include "radishrail/peer_message.h"
 
@@ -78,12 +79,6 @@
 CallerResponse AnswerResponse(const JobAnswer& answer);
 // True for refusals while key ranges change their owner or a daemon starts.
 bool IsTransient(const Error& error);
-// Answer to a job of which no task was or will be dispatched.
-JobAnswer NotRunAnswer(const JobSpec& job,
-                       const Error& error,
-                       absl::Duration retry_after);
-// Answer to a job that may have been run by another daemon.
-JobAnswer UnknownAnswer(const JobSpec& job, const Error& error);
 
 }  // namespace radishrail
 
--- /dev/null
+++ b/include/radishrail/job_answers.h
@@ -0,0 +1,23 @@
+#ifndef RADISHRAIL_JOB_ANSWERS_H_
+#define RADISHRAIL_JOB_ANSWERS_H_
+
+#include "absl/time/time.h"
+#include "radishrail/error.h"
+#include "radishrail/job.h"
+
+namespace radishrail {
+
+// Whether each task of an answer repeats the error of its job.
+enum class TaskErrors { kRepeated, kOmitted };
+
+// Answer to a job of which no task was or will be dispatched.
+JobAnswer NotRunAnswer(const JobSpec& job,
+                       const Error& error,
+                       absl::Duration retry_after,
+                       TaskErrors task_errors = TaskErrors::kRepeated);
+// Answer to a job that may have been run by another daemon.
+JobAnswer UnknownAnswer(const JobSpec& job, const Error& error);
+
+}  // namespace radishrail
+
+#endif  // RADISHRAIL_JOB_ANSWERS_H_
--- a/src/filter.cc
+++ b/src/filter.cc
@@ -6,30 +6,6 @@
 
 namespace radishrail {
 
-namespace {
-
-JobAnswer AnswerWithoutRun(const JobSpec& job,
-                           JobStatus status,
-                           TaskStatus task_status,
-                           const Error& error) {
-  JobAnswer answer;
-  answer.key = job.key;
-  answer.environment = job.environment;
-  answer.status = status;
-  answer.error = error;
-  answer.tasks.reserve(job.tasks.size());
-  for (const auto& it : job.tasks) {
-    TaskAnswer task;
-    task.id = it.id;
-    task.status = task_status;
-    task.error = error;
-    answer.tasks.push_back(std::move(task));
-  }
-  return answer;
-}
-
-}  // namespace
-
 void ParseCallerRequest(CallerRequest& request) {
   if (request.method == ForwardMethod::kSubmit && !request.job.has_value() &&
       request.parse_error.ok()) {
@@ -76,17 +52,4 @@
   }
 }
 
-JobAnswer NotRunAnswer(const JobSpec& job,
-                       const Error& error,
-                       absl::Duration retry_after) {
-  JobAnswer answer =
-      AnswerWithoutRun(job, JobStatus::kNotRun, TaskStatus::kNotRun, error);
-  answer.retry_after = retry_after;
-  return answer;
-}
-
-JobAnswer UnknownAnswer(const JobSpec& job, const Error& error) {
-  return AnswerWithoutRun(job, JobStatus::kFailed, TaskStatus::kUnknown, error);
-}
-
 }  // namespace radishrail
--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -12,6 +12,7 @@
 #include "job_metrics.h"
 #include "job_record.h"
 #include "key_table.h"
+#include "radishrail/job_answers.h"
 #include "radishrail/job_json.h"
 #include "retry_budget.h"
 #include "run_time_model.h"
@@ -52,20 +53,6 @@
           "the key was used for another request"};
 }
 
-JobAnswer NotRunAnswer(const JobSpec& job, Error error, absl::Duration retry) {
-  JobAnswer answer;
-  answer.key = job.key;
-  answer.environment = job.environment;
-  answer.status = JobStatus::kNotRun;
-  answer.error = std::move(error);
-  answer.retry_after = retry;
-  answer.tasks.reserve(job.tasks.size());
-  for (const auto& it : job.tasks) {
-    answer.tasks.push_back({it.id, TaskStatus::kNotRun, "", {}});
-  }
-  return answer;
-}
-
 bool IsFinal(JobStatus status) {
   return status != JobStatus::kRunning;
 }
@@ -102,7 +89,8 @@
       metrics_.conflicts.Add();
       RecordEvent(EventType::kJobRefused, job.key, "", "", "conflict");
       Deliver(std::move(callback),
-              NotRunAnswer(job, ConflictError(), absl::ZeroDuration()));
+              NotRunAnswer(job, ConflictError(), absl::ZeroDuration(),
+                           TaskErrors::kOmitted));
       return true;
     }
     metrics_.joined.Add();
@@ -131,7 +119,7 @@
       refusal = scheduler_.Admit(MakeDemand(number, spec, *document, now));
     }
     if (refusal.has_value()) {
-      Refuse(spec, std::move(*refusal), std::move(callback));
+      Refuse(spec, *refusal, std::move(callback));
       return;
     }
     Add(number, std::move(spec), std::move(document), std::move(callback), now);
@@ -281,12 +269,15 @@
     return demand;
   }
 
-  void Refuse(const JobSpec& spec, Refusal refusal, AnswerCallback callback) {
+  void Refuse(const JobSpec& spec,
+              const Refusal& refusal,
+              AnswerCallback callback) {
     metrics_.refused.Add();
     RecordEvent(EventType::kJobRefused, spec.key, "", "",
                 ErrorCodeName(refusal.error.code));
     Deliver(std::move(callback),
-            NotRunAnswer(spec, std::move(refusal.error), refusal.retry_after));
+            NotRunAnswer(spec, refusal.error, refusal.retry_after,
+                         TaskErrors::kOmitted));
   }
 
   void Add(uint64_t number,
@@ -699,18 +690,16 @@
         return std::move(*answer);
       }
     }
-    JobAnswer answer;
-    answer.key = record.key;
-    answer.environment = keys_.EnvironmentName(record);
-    answer.status = JobStatus::kFailed;
-    answer.error = {ErrorCode::kOutcomeUnknown, Step::kOwnership, "",
-                    "the former owner of the key had not finished the job"};
+    const Error error = {
+        ErrorCode::kOutcomeUnknown, Step::kOwnership, "",
+        "the former owner of the key had not finished the job"};
     if (job != nullptr) {
-      for (const auto& it : job->tasks) {
-        answer.tasks.push_back({it.id, TaskStatus::kUnknown, "", answer.error});
-      }
+      return UnknownAnswer(*job, error);
     }
-    return answer;
+    JobSpec without_tasks;
+    without_tasks.key = record.key;
+    without_tasks.environment = keys_.EnvironmentName(record);
+    return UnknownAnswer(without_tasks, error);
   }
 
   // --- Work of a Tick ---
--- /dev/null
+++ b/tests/job_answers_test.cc
@@ -0,0 +1,53 @@
+#include "radishrail/job_answers.h"
+
+#include "gtest/gtest.h"
+
+namespace radishrail {
+namespace {
+
+class JobAnswersTest : public testing::Test {
+ protected:
+  JobAnswersTest() {
+    job_.key = "key";
+    job_.environment = "booking";
+    job_.tasks.resize(2);
+    job_.tasks[1].id = "t1";
+  }
+
+  JobSpec job_;
+  const Error error_{ErrorCode::kOverloaded, Step::kAdmission, "", "full"};
+};
+
+// Guards against an answer that lacks a task or names the wrong job.
+TEST_F(JobAnswersTest, NotRunAnswerNamesJobAndEveryTask) {
+  const JobAnswer answer = NotRunAnswer(job_, error_, absl::Seconds(2));
+  EXPECT_EQ(answer.key, "key");
+  EXPECT_EQ(answer.environment, "booking");
+  EXPECT_EQ(answer.status, JobStatus::kNotRun);
+  EXPECT_EQ(answer.retry_after, absl::Seconds(2));
+  ASSERT_EQ(answer.tasks.size(), 2U);
+  EXPECT_EQ(answer.tasks[1].id, "t1");
+  EXPECT_EQ(answer.tasks[1].status, TaskStatus::kNotRun);
+  EXPECT_EQ(answer.tasks[1].error.code, ErrorCode::kOverloaded);
+}
+
+// Guards against refusals of the job table that grow by an error per task.
+TEST_F(JobAnswersTest, OmittedTaskErrorsLeaveOnlyTheErrorOfTheJob) {
+  const JobAnswer answer =
+      NotRunAnswer(job_, error_, absl::ZeroDuration(), TaskErrors::kOmitted);
+  EXPECT_EQ(answer.error.code, ErrorCode::kOverloaded);
+  ASSERT_EQ(answer.tasks.size(), 2U);
+  EXPECT_TRUE(answer.tasks[1].error.ok());
+}
+
+// Guards against "not run" for a job that another daemon may have run.
+TEST_F(JobAnswersTest, UnknownAnswerFailsTheJobAndLeavesTasksUnknown) {
+  const JobAnswer answer = UnknownAnswer(job_, error_);
+  EXPECT_EQ(answer.status, JobStatus::kFailed);
+  ASSERT_EQ(answer.tasks.size(), 2U);
+  EXPECT_EQ(answer.tasks[0].status, TaskStatus::kUnknown);
+  EXPECT_EQ(answer.tasks[0].error.code, ErrorCode::kOverloaded);
+}
+
+}  // namespace
+}  // namespace radishrail
