Use fields of their own for handover parts and replies to document pulls

Cause: handovers and document pushes carried control data in the first entry of their lists, which a reader takes for a key or a document. Change: RangeHandover has transfer and part, DocumentPush has after_revision and reply. Tests build the same messages with the new fields; an empty push is still ignored and the model check's lost keys are all keys. Conclusion: no marker entries are left.

--- a/include/radishrail/peer_message.h
+++ b/include/radishrail/peer_message.h
@@ -124,16 +124,19 @@
 // A part of a handover; the receiver replies after the part marked `last`.
 struct RangeHandover {
   uint64_t incarnation = 0;  // of the sender
+  uint64_t transfer = 0;     // number of the handover within the incarnation
+  uint32_t part = 0;         // counts from 0; a lost part is noticed by it
   std::vector<uint32_t> ranges;
   std::vector<RememberedKey> keys;
   bool last = false;
-  MSGPACK_DEFINE(incarnation, ranges, keys, last);
+  MSGPACK_DEFINE(incarnation, transfer, part, ranges, keys, last);
 };
 
 struct RangeHandoverReply {
   uint64_t incarnation = 0;  // of the daemon that hands over
+  uint64_t transfer = 0;
   bool accepted = false;
-  MSGPACK_DEFINE(incarnation, accepted);
+  MSGPACK_DEFINE(incarnation, transfer, accepted);
 };
 
 enum class ForwardMethod { kSubmit, kStatus, kCancel, kMaxValue = kCancel };
@@ -174,11 +177,14 @@
   MSGPACK_DEFINE(revision, environment, stage, version, body);
 };
 
+// A reply to a pull, or a single accepted change that is pushed at once.
 struct DocumentPush {
-  int64_t revision = 0;  // the sender's revision; complete up to it if `last`
+  int64_t revision = 0;        // revision up to which the changes are complete
+  int64_t after_revision = 0;  // they are complete from the next revision on
   std::vector<DocumentChange> changes;
-  bool last = true;
-  MSGPACK_DEFINE(revision, changes, last);
+  bool reply = false;  // to a pull
+  bool last = true;    // false: the receiver pulls the next part
+  MSGPACK_DEFINE(revision, after_revision, changes, reply, last);
 };
 
 struct SlotLoan {
--- a/src/document_controller.cc
+++ b/src/document_controller.cc
@@ -51,17 +51,6 @@
 // Operators' changes in progress at once in this daemon.
 constexpr size_t kMaxPendingChanges = 64;
 
-// First change of a reply to a pull: its revision is the `after_revision` of
-// the pull. It tells a reply, which is complete after that revision, from a
-// push of one change, which is complete only after the revision before it.
-DocumentChange ReplyMarker(int64_t after) {
-  return {after, {}, {}, 0, {}};
-}
-
-bool IsReplyMarker(const DocumentChange& change) {
-  return change.environment.empty();
-}
-
 ChangeResult Refusal(ChangeOutcome outcome, Error error) {
   ChangeResult result;
   result.outcome = outcome;
@@ -108,7 +97,7 @@
   void Pull(const MemberRecord& peer);
   void AnswerPull(const MemberRecord& peer, const DocumentPull& pull);
   void OnPush(const MemberRecord& sender, const DocumentPush& push);
-  bool IsValidPush(const DocumentPush& push, int64_t base) const;
+  bool IsValidPush(const DocumentPush& push) const;
   void OnAccepted(const DocumentChange& change);
 
   const Clock& clock_;
@@ -230,7 +219,8 @@
   }
   DocumentPush push;
   push.revision = table_.revision();
-  push.changes.push_back(ReplyMarker(pull.after_revision));
+  push.after_revision = pull.after_revision;
+  push.reply = true;
   size_t bytes = 0;
   for (auto& it : table_.ChangesAfter(pull.after_revision)) {
     if (bytes > 0 && bytes + it.body.size() > kMaxPartBytes) {
@@ -244,13 +234,12 @@
   transport_.Send(peer.peer_address, push);
 }
 
-bool DocumentController::Impl::IsValidPush(const DocumentPush& push,
-                                           int64_t base) const {
-  int64_t previous = base;
+bool DocumentController::Impl::IsValidPush(const DocumentPush& push) const {
+  if (push.after_revision < 0 || push.after_revision > push.revision) {
+    return false;
+  }
+  int64_t previous = push.after_revision;
   for (const auto& it : push.changes) {
-    if (IsReplyMarker(it)) {
-      continue;
-    }
     if (it.revision <= previous || it.revision > push.revision ||
         it.version <= 0 || !internal::IsEnvironmentName(it.environment) ||
         !StageFromName(it.stage).has_value()) {
@@ -263,33 +252,28 @@
 
 void DocumentController::Impl::OnPush(const MemberRecord& sender,
                                       const DocumentPush& push) {
-  if (push.changes.empty()) {
+  if (push.changes.empty() && !push.reply) {
     return;
   }
-  const bool is_reply = IsReplyMarker(push.changes.front());
-  const int64_t base =
-      is_reply ? push.changes.front().revision : push.revision - 1;
-  if (base < 0 || !IsValidPush(push, base)) {
+  if (!IsValidPush(push)) {
     Log(LogLevel::kWarning, "document push is not valid",
         {{"peer", sender.vm}, {"revision", absl::StrCat(push.revision)}});
     return;
   }
-  if (is_reply) {
+  if (push.reply) {
     pull_expires_ = absl::InfinitePast();
   }
-  if (base > table_.revision()) {
+  if (push.after_revision > table_.revision()) {
     // Changes between are missing; they are applied in order only.
     OnPeerRevision(sender, push.revision);
     return;
   }
   highest_heard_ = std::max(highest_heard_, push.revision);
   for (const auto& it : push.changes) {
-    if (!IsReplyMarker(it)) {
-      table_.Apply(it);
-    }
+    table_.Apply(it);
   }
   table_.RaiseRevision(push.revision);
-  if (is_reply && !push.last) {
+  if (push.reply && !push.last) {
     Pull(sender);
   }
 }
@@ -385,7 +369,7 @@
   } else {
     next_poll_ = absl::InfinitePast();
   }
-  const DocumentPush push{change.revision, {change}, true};
+  const DocumentPush push{change.revision, change.revision - 1, {change}};
   for (const auto& it : reachable_peers_()) {
     transport_.Send(it.peer_address, push);
   }
--- a/src/ownership.cc
+++ b/src/ownership.cc
@@ -158,6 +158,7 @@
 // An outgoing transfer of ranges. Its ranges are not accepted for.
 struct Transfer {
   enum class Phase { kSending, kAwaitingReply, kWriting };
+  uint64_t id = 0;
   MemberRecord target;
   std::set<uint32_t> ranges;
   std::vector<RangeHandover> parts;
@@ -171,19 +172,10 @@
 struct Incoming {
   uint64_t incarnation = 0;
   uint64_t id = 0;
-  int64_t next_part = 0;
+  uint32_t next_part = 0;
   std::vector<RememberedKey> keys;
 };
 
-// The first entry of each part has no key and carries the number of the
-// transfer and of the part, so that the receiver notices a lost part.
-RememberedKey PartHeader(uint64_t transfer, size_t part) {
-  RememberedKey header;
-  header.body_hash = transfer;
-  header.accepted_unix_ms = static_cast<int64_t>(part);
-  return header;
-}
-
 }  // namespace
 
 class OwnershipController::Impl
@@ -1193,14 +1185,15 @@
                                      transfer.ranges.end());
   const std::vector<RememberedKey> from_source =
       keys == nullptr ? key_source_(ranges) : std::vector<RememberedKey>{};
-  const uint64_t id = next_transfer_++;
+  transfer.id = next_transfer_++;
   RangeHandover part;
   size_t bytes = 0;
   const auto finish_part = [&](bool last) {
     part.incarnation = settings_.incarnation;
     part.ranges = ranges;
     part.last = last;
-    part.keys.insert(part.keys.begin(), PartHeader(id, transfer.parts.size()));
+    part.transfer = transfer.id;
+    part.part = static_cast<uint32_t>(transfer.parts.size());
     transfer.parts.push_back(std::exchange(part, {}));
     bytes = 0;
   };
@@ -1282,21 +1275,19 @@
 
 void OwnershipController::Impl::On(const MemberRecord& sender,
                                    const RangeHandover& message) {
-  if (message.incarnation != sender.incarnation || message.keys.empty() ||
-      !message.keys[0].key.empty()) {
+  if (message.incarnation != sender.incarnation) {
     return;
   }
-  const uint64_t id = message.keys[0].body_hash;
-  const int64_t part = message.keys[0].accepted_unix_ms;
   Incoming& incoming = incoming_[sender.vm];
-  if (part == 0) {
-    incoming = {sender.incarnation, id, 0, {}};
+  if (message.part == 0) {
+    incoming = {sender.incarnation, message.transfer, 0, {}};
   }
   const bool in_order = incoming.incarnation == sender.incarnation &&
-                        incoming.id == id && incoming.next_part == part;
+                        incoming.id == message.transfer &&
+                        incoming.next_part == message.part;
   if (in_order) {
     ++incoming.next_part;
-    incoming.keys.insert(incoming.keys.end(), message.keys.begin() + 1,
+    incoming.keys.insert(incoming.keys.end(), message.keys.begin(),
                          message.keys.end());
   }
   if (!message.last) {
@@ -1310,8 +1301,9 @@
     PollSoon(absl::Milliseconds(400));
   }
   incoming_.erase(sender.vm);
-  transport_.Send(sender.peer_address,
-                  RangeHandoverReply{message.incarnation, accepted});
+  transport_.Send(
+      sender.peer_address,
+      RangeHandoverReply{message.incarnation, message.transfer, accepted});
 }
 
 void OwnershipController::Impl::On(const MemberRecord& sender,
@@ -1319,7 +1311,7 @@
   if (!transfer_.has_value() ||
       transfer_->phase != Transfer::Phase::kAwaitingReply ||
       message.incarnation != settings_.incarnation ||
-      sender.vm != transfer_->target.vm ||
+      message.transfer != transfer_->id || sender.vm != transfer_->target.vm ||
       sender.incarnation != transfer_->target.incarnation) {
     return;
   }
--- a/tests/document_controller_test.cc
+++ b/tests/document_controller_test.cc
@@ -468,12 +468,12 @@
   Fleet fleet(1);
   const MemberRecord peer{"vm-9", 1, 1, "north", "0", MemberState::kReady, 1};
   for (const DocumentPush& it : {
-           DocumentPush{1, {{1, "a", "no_stage", 1, Body("a", 1)}}, true},
-           DocumentPush{1, {{1, "a/b", "trial", 1, Body("a", 1)}}, true},
-           DocumentPush{1, {{1, "a", "trial", 0, Body("a", 1)}}, true},
-           DocumentPush{1, {{2, "a", "trial", 1, Body("a", 1)}}, true},
-           DocumentPush{-5, {{-5, "a", "trial", 1, Body("a", 1)}}, true},
-           DocumentPush{5, {}, true},
+           DocumentPush{1, 0, {{1, "a", "no_stage", 1, Body("a", 1)}}},
+           DocumentPush{1, 0, {{1, "a/b", "trial", 1, Body("a", 1)}}},
+           DocumentPush{1, 0, {{1, "a", "trial", 0, Body("a", 1)}}},
+           DocumentPush{1, 0, {{2, "a", "trial", 1, Body("a", 1)}}},
+           DocumentPush{-5, -6, {{-5, "a", "trial", 1, Body("a", 1)}}},
+           DocumentPush{5, 0, {}},
        }) {
     fleet.controller(0).OnPeerMessage(peer, it);
     EXPECT_EQ(fleet.controller(0).revision(), 0);
@@ -587,7 +587,7 @@
   fleet.Put(0, "a", Body("a", 2), "op-2");
   const MemberRecord peer{"vm-9", 1, 1, "north", "0", MemberState::kReady, 1};
   fleet.controller(0).OnPeerMessage(
-      peer, DocumentPush{3, {{3, "a", "trial", 1, Body("a", 1)}}, true});
+      peer, DocumentPush{3, 2, {{3, "a", "trial", 1, Body("a", 1)}}});
   EXPECT_EQ(fleet.controller(0).Find("a", Stage::kTrial)->version, 2);
 }
 
@@ -598,11 +598,11 @@
   const MemberRecord peer{"vm-9", 1, 1, "north", "0", MemberState::kReady, 1};
   fleet.controller(0).OnPeerMessage(
       peer, DocumentPush{2,
+                         1,
                          {{2, "a", "trial", 2,
-                           "{\"environment\": \"a\", \"new_field\": 1}"}},
-                         true});
+                           "{\"environment\": \"a\", \"new_field\": 1}"}}});
   fleet.controller(0).OnPeerMessage(
-      peer, DocumentPush{3, {{3, "b", "trial", 1, Body("b", 1)}}, true});
+      peer, DocumentPush{3, 2, {{3, "b", "trial", 1, Body("b", 1)}}});
   EXPECT_EQ(fleet.controller(0).Find("a", Stage::kTrial)->version, 1);
   EXPECT_NE(fleet.controller(0).Find("b", Stage::kTrial), nullptr);
   EXPECT_EQ(fleet.controller(0).revision(), 3);
--- a/tests/ownership_model_test.cc
+++ b/tests/ownership_model_test.cc
@@ -349,7 +349,7 @@
   PeerMessage copy = message;
   if (auto* handover = std::get_if<RangeHandover>(&copy)) {
     if (world.sabotage.lose_handover_keys) {
-      handover->keys.resize(1);
+      handover->keys.clear();
     }
   }
   absl::Time& last = world.last_delivery[{vm, target}];
