Answer "unknown" where a daemon cannot know about earlier submissions

Ruled out: reading the key's state from other daemons first, which adds a round trip and fails in the same partitions. Change: both refusals are "unknown" with a retry time and are repeated by the entry daemon; not_run is left to the owner of the key.

--- a/src/filter.cc
+++ b/src/filter.cc
@@ -37,7 +37,7 @@
 bool IsTransient(const Error& error) {
   // Errors of the job itself have other steps.
   if (error.step != Step::kOwnership && error.step != Step::kForward &&
-      error.step != Step::kAdmission) {
+      error.step != Step::kAdmission && error.step != Step::kEnvironment) {
     return false;
   }
   switch (error.code) {
--- a/src/request_filters.cc
+++ b/src/request_filters.cc
@@ -32,23 +32,31 @@
   return {name, Stage::kProduction};
 }
 
-// "Unknown" with the time after which a repetition makes sense.
-JobAnswer RepeatableAnswer(const JobSpec& job,
-                           const OwnershipDecision& decision) {
-  JobAnswer answer = UnknownAnswer(job, decision.error);
-  answer.retry_after = decision.retry_after;
-  return answer;
-}
-
-void Refuse(RequestContext& context,
-            const Error& error,
-            absl::Duration retry_after) {
+// Refuses a submission at its owner: certainly not run.
+void RefuseNotRun(RequestContext& context,
+                  const Error& error,
+                  absl::Duration retry_after) {
   const auto& job = context.request.job;
   context.respond(job.has_value()
                       ? AnswerResponse(NotRunAnswer(*job, error, retry_after))
                       : ErrorResponse(error, retry_after));
 }
 
+// Refuses a request at a daemon that cannot know what became of earlier
+// submissions of the key: "unknown", safe to repeat.
+void RefuseUnknown(RequestContext& context,
+                   const Error& error,
+                   absl::Duration retry_after) {
+  const auto& job = context.request.job;
+  if (!job.has_value()) {
+    context.respond(ErrorResponse(error, retry_after));
+    return;
+  }
+  JobAnswer answer = UnknownAnswer(*job, error);
+  answer.retry_after = retry_after;
+  context.respond(AnswerResponse(answer));
+}
+
 }  // namespace
 
 bool KeyFilter::Apply(RequestContext& context) {
@@ -90,10 +98,10 @@
   const auto [name, stage] = SplitEnvironment(job.environment);
   context.document = documents_.Find(name, stage);
   if (context.document == nullptr && !documents_.ready()) {
-    Refuse(context,
-           {ErrorCode::kNotReady, Step::kEnvironment, "",
-            "the daemon has no environment documents yet"},
-           kStartingRetryAfter);
+    RefuseUnknown(context,
+                  {ErrorCode::kNotReady, Step::kEnvironment, "",
+                   "the daemon has no environment documents yet"},
+                  kStartingRetryAfter);
     return false;
   }
   // An unknown environment and a wrong token give the same error, so that
@@ -191,22 +199,20 @@
       if (context.request.hops < kMaxHops) {
         ForwardTo(decision.target, context);
       } else {
-        Refuse(context,
-               {ErrorCode::kNoOwner, Step::kOwnership, decision.target.vm,
-                "the daemons do not agree on the owner of the key yet"},
-               kStartingRetryAfter);
+        RefuseUnknown(
+            context,
+            {ErrorCode::kNoOwner, Step::kOwnership, decision.target.vm,
+             "the daemons do not agree on the owner of the key yet"},
+            kStartingRetryAfter);
       }
       return false;
     case OwnershipVerdict::kNotRun:
       not_run_.Add();
-      Refuse(context, decision.error, decision.retry_after);
+      RefuseNotRun(context, decision.error, decision.retry_after);
       return false;
     case OwnershipVerdict::kUnknown:
       unknown_.Add();
-      context.respond(
-          context.request.job.has_value()
-              ? AnswerResponse(RepeatableAnswer(*context.request.job, decision))
-              : ErrorResponse(decision.error));
+      RefuseUnknown(context, decision.error, decision.retry_after);
       return false;
   }
   return false;
@@ -218,10 +224,10 @@
     return false;
   }
   if (!accepting_()) {
-    Refuse(context,
-           {ErrorCode::kDraining, Step::kAdmission, "",
-            "the daemon is starting or shutting down"},
-           kStartingRetryAfter);
+    RefuseNotRun(context,
+                 {ErrorCode::kDraining, Step::kAdmission, "",
+                  "the daemon is starting or shutting down"},
+                 kStartingRetryAfter);
     return false;
   }
   jobs_.Accept(
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -227,7 +227,9 @@
             const auto answer = ParseJobAnswer(response.body, nullptr);
             if (answer.has_value() && answer->status == JobStatus::kNotRun &&
                 StartsOf(submission->key) > 0) {
-              false_not_run_.push_back(submission->key);
+              false_not_run_.push_back(
+                  absl::StrCat(submission->key, " through ", submission->entry,
+                               ": ", response.body));
             }
           });
     });
