Parse the responses of upstreams off the control thread

Cause: the control thread parsed the JSON response of each task, and it is the one thread that serves all tasks.

Ruled out: the work on the control thread is not only the parsing; a profile with perf shows malloc and free, the clock and the JSON of requests next.

Change: HttpUpstreamClient parses a response on the client's thread that received it and posts the result to the executor.

--- a/include/radishrail/http_upstream_client.h
+++ b/include/radishrail/http_upstream_client.h
@@ -48,6 +48,7 @@
 
   const Clock& clock_;
   Executor& executor_;
+  const std::unique_ptr<Executor> inline_executor_;
   Counter& starts_;
   Counter& not_started_;
   Counter& unknown_;
--- a/src/http_upstream_client.cc
+++ b/src/http_upstream_client.cc
@@ -127,6 +127,19 @@
   return *std::move(result);
 }
 
+// Runs a function on the thread that posts it.
+class InlineExecutor : public Executor {
+ public:
+  explicit InlineExecutor(Executor& delayed) : delayed_(delayed) {}
+  void Post(std::function<void()> task) override { task(); }
+  void PostDelayed(absl::Duration delay, std::function<void()> task) override {
+    delayed_.PostDelayed(delay, std::move(task));
+  }
+
+ private:
+  Executor& delayed_;
+};
+
 }  // namespace
 
 HttpUpstreamClient::HttpUpstreamClient(const HttpUpstreamSettings& settings,
@@ -135,6 +148,7 @@
                                        Metrics& metrics)
     : clock_(clock),
       executor_(executor),
+      inline_executor_(std::make_unique<InlineExecutor>(executor)),
       starts_(metrics.counter("radishrail_upstream_requests_total",
                               "Tasks sent to upstreams, with all attempts")),
       not_started_(
@@ -149,7 +163,7 @@
   client.step = Step::kHandOver;
   for (int i = 0; i < std::max(1, settings.threads); ++i) {
     client.thread_name = "upstream-" + std::to_string(i);
-    clients_.push_back(std::make_unique<HttpClient>(client, executor));
+    clients_.push_back(std::make_unique<HttpClient>(client, *inline_executor_));
   }
 }
 
@@ -191,15 +205,21 @@
     return in_time;
   };
   HttpClient& client = ClientOf(start.address);
-  client.Send(std::move(request),
-              [not_started = &not_started_, unknown = &unknown_,
-               address = std::move(start.address),
-               callback = std::move(callback)](const HttpResult& response) {
-                TaskResult result = ResultOf(response, address);
-                not_started->Add(result.outcome == TaskOutcome::kNotStarted);
-                unknown->Add(result.outcome == TaskOutcome::kUnknown);
-                callback(std::move(result));
-              });
+  // Runs on the client's thread: parsing a response there keeps that cost off
+  // the executor, which serves all tasks with one thread.
+  client.Send(
+      std::move(request),
+      [&executor = executor_, not_started = &not_started_, unknown = &unknown_,
+       address = std::move(start.address),
+       callback = std::move(callback)](const HttpResult& response) mutable {
+        TaskResult result = ResultOf(response, address);
+        not_started->Add(result.outcome == TaskOutcome::kNotStarted);
+        unknown->Add(result.outcome == TaskOutcome::kUnknown);
+        executor.Post([result = std::move(result),
+                       callback = std::move(callback)]() mutable {
+          callback(std::move(result));
+        });
+      });
 }
 
 void HttpUpstreamClient::Stop() {
