Place queued tasks as soon as a task ends

Cause: the node placed tasks after callers' requests and in its Tick, which runs every 5 ms, but not after the end of a task. A free slot stayed idle until then, although the contract of JobController::Tick asks for a call after each event.

Ruled out: a whole Tick after each task, which also does work that is not due.

Change: JobController::PlaceTasks is public and the node calls it after each result. Nested calls return at once, so that a client that ends tasks within Start does not deepen the stack.

--- a/include/radishrail/job_controller.h
+++ b/include/radishrail/job_controller.h
@@ -68,6 +68,9 @@
   // while jobs are in progress. Also moves the transitions of the upstream
   // registry to the timeline.
   void Tick();
+  // Places queued tasks on free slots; the part of `Tick` that is due after the
+  // end of each task. Does nothing if called while tasks are being placed.
+  void PlaceTasks();
 
   // For a handover: all remembered range-bound keys.
   std::vector<RememberedKey> Remembered() const;
--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -282,6 +282,24 @@
     counters_.remembered.Set(static_cast<int64_t>(records_.size()));
   }
 
+  // A client that ends tasks within `Start` causes nested calls; the outermost
+  // one places all tasks, so that the stack does not grow with their number.
+  void PlaceTasks() {
+    if (placing_) {
+      return;
+    }
+    const CallScope scope(*this);
+    placing_ = true;
+    for (size_t n = 0; n < kPlacementsPerTick; ++n) {
+      const std::optional<Placement> placement = scheduler_.Next();
+      if (!placement.has_value()) {
+        break;
+      }
+      Place(*placement);
+    }
+    placing_ = false;
+  }
+
   std::vector<RememberedKey> Remembered(
       const std::function<bool(std::string_view)>& selects) const {
     std::vector<RememberedKey> out;
@@ -561,16 +579,6 @@
 
   // --- Hand-over ---
 
-  void PlaceTasks() {
-    for (size_t n = 0; n < kPlacementsPerTick; ++n) {
-      const std::optional<Placement> placement = scheduler_.Next();
-      if (!placement.has_value()) {
-        return;
-      }
-      Place(*placement);
-    }
-  }
-
   void Place(const Placement& placement) {
     const TaskRef ref = placement.task;
     Job* job = FindJob(ref.job);
@@ -1067,6 +1075,7 @@
   std::vector<KindModel> kinds_{1};  // number 0 is never learned
   std::deque<Delivery> deliveries_;
   int depth_ = 0;
+  bool placing_ = false;
   uint64_t next_job_ = 1;
   // Expires with the controller; the client may call back later.
   const std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
@@ -1107,6 +1116,10 @@
 bool JobController::Cancel(std::string_view key) {
   return impl_->Cancel(key);
 }
+void JobController::PlaceTasks() {
+  impl_->PlaceTasks();
+}
+
 void JobController::Tick() {
   impl_->Tick();
 }
--- a/src/node.cc
+++ b/src/node.cc
@@ -253,6 +253,8 @@
           [this, address, callback = std::move(callback)](TaskResult result) {
             node_.OnTaskEnded(address, result);
             callback(std::move(result));
+            // Without this, a free slot waits for the next Tick.
+            node_.jobs_.PlaceTasks();
           });
     }
 
--- a/tests/job_controller_test.cc
+++ b/tests/job_controller_test.cc
@@ -66,6 +66,32 @@
   std::vector<std::optional<JobAnswer>> answers_;
 };
 
+// Guards against a free slot that stays idle until the next Tick.
+TEST_F(JobControllerTest, TaskEnds_PlaceTasks_StartsNextTaskWithoutTick) {
+  Submit(TestJob("k", 17));
+  jobs_.Tick();
+  ASSERT_EQ(client_.calls.size(), 16u);  // 2 upstreams of 8 slots
+  Respond(0, Done());
+  jobs_.PlaceTasks();
+  ASSERT_EQ(client_.calls.size(), 17u);
+  jobs_.PlaceTasks();
+  EXPECT_EQ(client_.calls.size(), 17u);
+}
+
+// Guards against recursion that is as deep as the number of tasks, and against
+// a task that a nested call starts again.
+TEST_F(JobControllerTest, PlaceTasks_CalledWhilePlacing_DoesNothing) {
+  int depth = 0;
+  client_.on_start = [&](const TaskStart&) {
+    EXPECT_EQ(++depth, 1);
+    jobs_.PlaceTasks();
+    --depth;
+  };
+  Submit(TestJob("k", 16));
+  jobs_.PlaceTasks();
+  EXPECT_EQ(client_.calls.size(), 16u);
+}
+
 TEST_F(JobControllerTest, Job_AllTasksDone_IsCompleteInOrderOfSubmission) {
   Submit(TestJob("k", 3));
   jobs_.Tick();
