--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -165,6 +165,24 @@
     metrics_.remembered.Set(static_cast<int64_t>(keys_.size()));
   }
 
+  // A client that ends tasks within `Start` causes nested calls; the outermost
+  // one places all tasks, so that the stack does not grow with their number.
+  void PlaceTasks() {
+    if (placing_) {
+      return;
+    }
+    const CallScope scope(*this);
+    placing_ = true;
+    for (size_t n = 0; n < kPlacementsPerTick; ++n) {
+      const std::optional<Placement> placement = scheduler_.Next();
+      if (!placement.has_value()) {
+        break;
+      }
+      Place(*placement);
+    }
+    placing_ = false;
+  }
+
   std::vector<RememberedKey> Remembered(
       const std::function<bool(std::string_view)>& selects) const {
     return keys_.Export(selects);
@@ -316,16 +334,6 @@
 
   // --- Hand-over ---
 
-  void PlaceTasks() {
-    for (size_t n = 0; n < kPlacementsPerTick; ++n) {
-      const std::optional<Placement> placement = scheduler_.Next();
-      if (!placement.has_value()) {
-        return;
-      }
-      Place(*placement);
-    }
-  }
-
   void Place(const Placement& placement) {
     const TaskRef ref = placement.task;
     Job* job = FindJob(ref.job);
@@ -780,6 +788,7 @@
   internal::RunTimeModel run_times_;
   std::deque<Delivery> deliveries_;
   int depth_ = 0;
+  bool placing_ = false;
   uint64_t next_job_ = 1;
   // Expires with the controller; the client may call back later.
   const std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
@@ -820,6 +829,10 @@
 bool JobController::Cancel(std::string_view key) {
   return impl_->Cancel(key);
 }
+void JobController::PlaceTasks() {
+  impl_->PlaceTasks();
+}
+
 void JobController::Tick() {
   impl_->Tick();
 }
