--- a/benchmark/capacity_benchmark.cc
+++ b/benchmark/capacity_benchmark.cc
@@ -15,6 +15,7 @@
 
 #include "CLI/CLI.hpp"
 #include "absl/strings/str_cat.h"
+#include "radishrail/document_controller.h"
 #include "radishrail/membership.h"
 #include "radishrail/ownership.h"
 #include "radishrail/slot_broker.h"
@@ -297,6 +298,38 @@
   PrintRow("upstream registry", upstreams, cpu, 0, 0, heap);
 }
 
+std::string DocumentBody(const std::string& environment) {
+  return absl::StrCat(
+      R"({"environment": ")", environment,
+      R"(", "caller_tokens": ["0123456789abcdef"], "promised_ms": 2000,)",
+      R"( "upstream_classes": ["runner"], "teams": [{"name": "counter",)",
+      R"( "share": 3, "max_running_tasks": 200}]})");
+}
+
+void MeasureDocuments(int environments) {
+  Fixture fixture;
+  const int64_t before = live_bytes;
+  DocumentController documents(fixture.clock, fixture.random, fixture.store,
+                               fixture.transport,
+                               [] { return std::vector<MemberRecord>{}; });
+  for (int i = 0; i < environments; ++i) {
+    const std::string name = absl::StrCat("environment-", i);
+    const int64_t revision = i + 1;
+    documents.OnPeerMessage(
+        Member(1),
+        DocumentPush{revision,
+                     revision - 1,
+                     {{revision, name, "production", 1, DocumentBody(name)}}});
+  }
+  const int64_t heap = live_bytes - before;
+  const double cpu = RunTicks(fixture.clock, [&](int i) {
+    if (i % 2 == 0) {
+      documents.Tick();
+    }
+  });
+  PrintRow("documents", environments, cpu, 0, 0, heap);
+}
+
 int Main(int argc, char** argv) {
   CLI::App app("Control cost of one daemon at several fleet sizes.");
   CLI11_PARSE(app, argc, argv);
@@ -308,6 +341,9 @@
   for (const int size : {9, 75, 300}) {
     MeasureOwnership(size);
   }
+  for (const int environments : {78, 780, 7800}) {
+    MeasureDocuments(environments);
+  }
   for (const int upstreams : {48, 350, 1400, 5600, 21000}) {
     MeasureRegistry(upstreams);
   }
