--- a/benchmark/capacity_benchmark.cc
+++ b/benchmark/capacity_benchmark.cc
@@ -267,6 +267,7 @@
 
 std::vector<VmInfo> VmList(int upstreams) {
   std::vector<VmInfo> vms;
+  vms.reserve(static_cast<size_t>(upstreams));
   for (int i = 0; i < upstreams; ++i) {
     vms.push_back({absl::StrCat("up-", i), VmRole::kUpstream,
                    absl::StrCat("10.1.", i / 250, ".", i % 250, ":7500"),
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -2,7 +2,7 @@
 # Every process is ended by its id; nothing outlives the script.
 
 FLEET_DIR="$(mktemp -d)"
-FLEET_BASE="${FLEET_BASE:-$((20000 + RANDOM % 20000))}"
+FLEET_BASE="${FLEET_BASE:-$((10000 + RANDOM % 20000))}"  # below the kernel's outgoing ports
 OPERATOR_TOKEN=operator-token
 CALLER_TOKEN=caller-token
 CLUSTER_KEY=cluster-key
