Compare the cluster key with the function for secrets

Cause: the peer transport had its own copy of the constant-time comparison. Ruled out: moving both to a third place, since document.h exports one already. Conclusion: one comparison serves tokens and keys.

--- a/src/tcp_peer_transport.cc
+++ b/src/tcp_peer_transport.cc
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "radishrail/document.h"
 #include "radishrail/log.h"
 #include "radishrail/random.h"
 #include "socket_address.h"
@@ -55,17 +56,6 @@
 constexpr uint64_t kWakeId = 0;
 constexpr uint64_t kListenerId = 1;
 
-// Compares in time that depends on the length of `expected` only.
-bool KeysEqual(std::string_view given, std::string_view expected) {
-  size_t difference = given.size() ^ expected.size();
-  for (size_t i = 0; i < expected.size(); ++i) {
-    const char c = given.empty() ? '\0' : given[i % given.size()];
-    difference |= static_cast<size_t>(static_cast<unsigned char>(c) ^
-                                      static_cast<unsigned char>(expected[i]));
-  }
-  return difference == 0;
-}
-
 std::string Frame(const PeerMessage& message) {
   const std::string payload = EncodePeerMessage(message);
   const auto n = static_cast<uint32_t>(payload.size());
@@ -654,7 +644,7 @@
                                 "the first message is not a hello"));
     return false;
   }
-  if (!KeysEqual(hello->cluster_key, settings_.cluster_key)) {
+  if (!SecretsEqual(hello->cluster_key, settings_.cluster_key)) {
     Close(connection, ErrorWith(ErrorCode::kUnauthenticated, connection.address,
                                 "the cluster key differs"));
     return false;
