Record a joined job once on the time line

Cause: the deduplication filter and the job table both recorded job_joined. Ruled out: recording in the filter only, since Accept joins as well. Change: the filter no longer records it nor holds the time line. Conclusion: one place records the event.

--- a/src/node.cc
+++ b/src/node.cc
@@ -269,8 +269,8 @@
     filters.push_back(std::make_unique<internal::ParsingFilter>());
     filters.push_back(
         std::make_unique<internal::EnvironmentFilter>(documents_));
-    filters.push_back(std::make_unique<internal::DeduplicationFilter>(
-        jobs_, documents_, env_.timeline));
+    filters.push_back(
+        std::make_unique<internal::DeduplicationFilter>(jobs_, documents_));
     filters.push_back(std::make_unique<internal::OwnershipFilter>(
         ownership_, forwarder_, env_.metrics, env_.timeline));
     filters.push_back(std::make_unique<internal::AdmissionFilter>(
--- a/src/request_filters.cc
+++ b/src/request_filters.cc
@@ -134,10 +134,6 @@
     return true;
   }
   if (request.method == ForwardMethod::kSubmit) {
-    Event event;
-    event.type = EventType::kJobJoined;
-    event.job = request.key;
-    timeline_.Record(std::move(event));
     jobs_.Join(*request.job,
                [respond = context.respond](const JobAnswer& answer) {
                  // A conflict is no answer to the job of the key, which may
--- a/src/request_filters.h
+++ b/src/request_filters.h
@@ -53,10 +53,8 @@
 // reports its state or cancels it.
 class DeduplicationFilter : public RequestFilter {
  public:
-  DeduplicationFilter(JobController& jobs,
-                      const DocumentController& documents,
-                      Timeline& timeline)
-      : jobs_(jobs), documents_(documents), timeline_(timeline) {}
+  DeduplicationFilter(JobController& jobs, const DocumentController& documents)
+      : jobs_(jobs), documents_(documents) {}
   std::string_view name() const override { return "deduplication"; }
   bool Apply(RequestContext& context) override;
 
@@ -65,7 +63,6 @@
 
   JobController& jobs_;
   const DocumentController& documents_;
-  Timeline& timeline_;
 };
 
 // Forwards requests whose key another daemon owns, and refuses keys that nobody
