--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	.ci/install
 
 build: install
-	cmake -S . -B $(BUILD) -G Ninja > $(BUILD).cmake.log 2>&1 || { cat $(BUILD).cmake.log; exit 1; }
+	cmake -S . -B $(BUILD) -G Ninja -DRADISHRAIL_WERROR=ON > $(BUILD).cmake.log 2>&1 || { cat $(BUILD).cmake.log; exit 1; }
 	cmake --build $(BUILD) -j $(JOBS)
 
 test: build
--- a/include/radishrail/job.h
+++ b/include/radishrail/job.h
@@ -44,6 +44,21 @@
 std::string_view JobStatusName(JobStatus status);
 std::optional<JobStatus> JobStatusFromName(std::string_view name);
 
+// Part of a worker that a task occupies, or that a worker has.
+struct Room {
+  int64_t cpu_millis = 0;  // thousandths of a core
+  int64_t memory_mb = 0;
+  int64_t accelerators = 0;
+  friend bool operator==(const Room&, const Room&) = default;
+};
+
+// Slots in which the scheduler counts a room. Rounded up in each dimension, so
+// that tasks whose slots fit into a worker's also fit into its room.
+inline constexpr int64_t kCpuMillisPerSlot = 250;
+inline constexpr int64_t kMemoryMbPerSlot = 512;
+int SlotsNeeded(const Room& room);
+int SlotsOffered(const Room& room);
+
 // One task as the caller described it. Declared values are hints only.
 struct TaskSpec {
   std::string id;
@@ -52,6 +67,12 @@
   absl::Duration declared_run = absl::ZeroDuration();  // zero: not declared
   int declared_slots = 1;
   bool idempotent = false;
+  // Runs that may end as failed before the task does; each further start is
+  // made only after the former run has certainly ended.
+  int max_failures = 1;
+  // The upstream tells how each run ended, so that a run that was stopped or
+  // lost with its upstream may be followed by another.
+  bool restartable = false;
 };
 
 // One job as the caller submitted it.
@@ -60,6 +81,15 @@
   std::string environment;
   std::string team;
   absl::Duration deadline = absl::Seconds(30);
+  // Promised response time of this job; zero: that of the environment.
+  absl::Duration promised = absl::ZeroDuration();
+  // Class of the upstreams that may run it; empty: those of the environment.
+  std::string upstream_class;
+  // Payload of all tasks that have none of their own.
+  std::string payload;
+  // The caller waits for the answer and never asks for it again, so that the
+  // key is forgotten when the job has ended.
+  bool best_effort = false;
   std::vector<TaskSpec> tasks;
   // xxHash64 of the canonical body; a resubmission must have the same.
   uint64_t body_hash = 0;
--- a/include/radishrail/peer_message.h
+++ b/include/radishrail/peer_message.h
@@ -220,6 +220,91 @@
   MSGPACK_DEFINE(upstream);
 };
 
+// The sender's claim to dispatch to the upstreams of a failure domain.
+struct PoolClaim {
+  std::string pool;
+  uint64_t fence = 0;
+  std::string owner;  // vm
+  std::string address;
+  bool accepting = false;  // takes new jobs
+  uint32_t slots = 0;
+  uint32_t busy_slots = 0;
+  uint32_t backlog_ms = 0;  // queued work divided by the capacity
+  MSGPACK_DEFINE(pool,
+                 fence,
+                 owner,
+                 address,
+                 accepting,
+                 slots,
+                 busy_slots,
+                 backlog_ms);
+};
+
+// Sent several times a second: shows that the sender lives, which pools it
+// owns and which version of the configuration it has.
+struct PoolStatus {
+  std::vector<PoolClaim> claims;
+  int64_t document_version = 0;
+  MSGPACK_DEFINE(claims, document_version);
+};
+
+// Equal tasks of a job.
+struct PoolStep {
+  uint32_t count = 0;
+  uint32_t slots = 0;
+  uint32_t declared_ms = 0;
+  MSGPACK_DEFINE(count, slots, declared_ms);
+};
+
+// A job on its way from the entry daemon to the owner of a pool.
+struct PoolJobRequest {
+  uint64_t request = 0;  // unique among the requests of the sender
+  std::string pool;
+  std::string key;
+  std::string environment;
+  std::string upstream_class;
+  std::string payload;
+  std::vector<PoolStep> steps;
+  uint32_t deadline_ms = 0;
+  uint32_t promised_ms = 0;
+  uint32_t max_failures = 1;
+  int64_t document_version = 0;
+  MSGPACK_DEFINE(request,
+                 pool,
+                 key,
+                 environment,
+                 upstream_class,
+                 payload,
+                 steps,
+                 deadline_ms,
+                 promised_ms,
+                 max_failures,
+                 document_version);
+};
+
+struct PoolJobReply {
+  uint64_t request = 0;
+  std::string key;
+  uint32_t status = 0;  // JobStatus
+  uint32_t error = 0;   // ErrorCode
+  std::string detail;
+  uint32_t retry_after_ms = 0;
+  MSGPACK_DEFINE(request, key, status, error, detail, retry_after_ms);
+};
+
+// Ends a job wherever the receiver finds it.
+struct PoolJobCancel {
+  uint64_t request = 0;
+  std::string key;
+  MSGPACK_DEFINE(request, key);
+};
+
+struct PoolJobCancelReply {
+  uint64_t request = 0;
+  bool known = false;
+  MSGPACK_DEFINE(request, known);
+};
+
 // New kinds are added at the end: the index is the type on the wire.
 using PeerMessage = std::variant<Hello,
                                  Heartbeat,
@@ -238,7 +323,12 @@
                                  DocumentPush,
                                  SlotRequest,
                                  SlotGrant,
-                                 UpstreamLeaving>;
+                                 UpstreamLeaving,
+                                 PoolStatus,
+                                 PoolJobRequest,
+                                 PoolJobReply,
+                                 PoolJobCancel,
+                                 PoolJobCancelReply>;
 
 // Upper bound of one frame's payload; larger transfers are sent in parts.
 inline constexpr size_t kMaxPeerFrameBytes = 8 * 1024 * 1024;
--- a/include/radishrail/policy_scheduler.h
+++ b/include/radishrail/policy_scheduler.h
@@ -79,6 +79,7 @@
   std::vector<uint64_t> TakeHopeless() override;
   void SetUpstream(const UpstreamCapacity& capacity) override;
   void RemoveUpstream(UpstreamId upstream) override;
+  SchedulerLoad load() const override;
   size_t queued_tasks() const override;
   size_t running_tasks() const override;
 
--- /dev/null
+++ b/include/radishrail/pool_dispatcher.h
@@ -0,0 +1,81 @@
+#ifndef RADISHRAIL_POOL_DISPATCHER_H_
+#define RADISHRAIL_POOL_DISPATCHER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "radishrail/clock.h"
+#include "radishrail/job_controller.h"
+#include "radishrail/leased_upstream_client.h"
+#include "radishrail/metrics.h"
+#include "radishrail/random.h"
+#include "radishrail/runner_transport.h"
+#include "radishrail/scheduler.h"
+#include "radishrail/timeline.h"
+#include "radishrail/upstream_registry.h"
+
+namespace radishrail {
+
+// The owner's side of a pool: job table, scheduler, upstreams and their leases.
+// Single-threaded.
+class PoolDispatcher {
+ public:
+  PoolDispatcher(const std::string& failure_domain,
+                 const LeaseSettings& lease,
+                 const Clock& clock,
+                 Random& random,
+                 RunnerTransport& transport,
+                 std::unique_ptr<Scheduler> scheduler,
+                 Metrics& metrics,
+                 Timeline& timeline,
+                 std::function<void(const std::string& pool)> on_fenced);
+
+  void SetRunners(std::vector<LeasedUpstreamClient::OwnedRunner> runners);
+  // Names of runners that answer and are free of others' runs.
+  bool Usable(const std::string& vm) const { return client_.Usable(vm); }
+
+  void Submit(JobSpec job,
+              std::shared_ptr<const VersionedDocument> document,
+              JobController::AnswerCallback callback);
+  bool Cancel(std::string_view key);
+
+  // Runs what is due; returns the time of the next call.
+  absl::Time Tick();
+  SchedulerLoad load() const { return scheduler_->load(); }
+  size_t jobs_in_progress() const { return jobs_.jobs_in_progress(); }
+
+ private:
+  // Places queued tasks as soon as a task ends.
+  class PlacingClient : public UpstreamClient {
+   public:
+    explicit PlacingClient(PoolDispatcher& dispatcher)
+        : dispatcher_(dispatcher) {}
+    void Start(TaskStart start, Callback callback) override;
+    void Stop(const std::string& job_key,
+              const std::string& task_id,
+              int attempt) override;
+
+   private:
+    PoolDispatcher& dispatcher_;
+  };
+
+  void ApplyChanges();
+  void UpdateList();
+
+  const Clock& clock_;
+  std::unique_ptr<Scheduler> scheduler_;
+  UpstreamRegistry registry_;
+  LeasedUpstreamClient client_;
+  PlacingClient placing_client_;
+  JobController jobs_;
+  std::vector<LeasedUpstreamClient::OwnedRunner> runners_;
+  bool list_changed_ = false;
+};
+
+}  // namespace radishrail
+
+#endif  // RADISHRAIL_POOL_DISPATCHER_H_
--- /dev/null
+++ b/include/radishrail/pool_node.h
@@ -0,0 +1,110 @@
+#ifndef RADISHRAIL_POOL_NODE_H_
+#define RADISHRAIL_POOL_NODE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "radishrail/clock.h"
+#include "radishrail/executor.h"
+#include "radishrail/job.h"
+#include "radishrail/leased_upstream_client.h"
+#include "radishrail/metrics.h"
+#include "radishrail/peer_transport.h"
+#include "radishrail/random.h"
+#include "radishrail/routed_documents.h"
+#include "radishrail/runner_transport.h"
+#include "radishrail/scheduler.h"
+#include "radishrail/store.h"
+#include "radishrail/timeline.h"
+
+namespace radishrail {
+
+// Names and encodings of what the platform's store holds.
+struct PoolNodeCodec {
+  std::string runner_prefix;  // of the rows of runners
+  std::string documents_key;  // of the row of the configuration
+  DocumentsParser parse_documents;
+  // Decodes the row of a runner; nullopt if another writer spoiled it.
+  std::function<std::optional<VmInfo>(const Row& row, Error* error)>
+      parse_runner;
+};
+
+struct PoolNodeSettings {
+  std::string vm;
+  std::string failure_domain;
+  std::string peer_address;
+  LeaseSettings lease;
+  // Longest time that a watch of the store waits.
+  absl::Duration watch_wait = absl::Seconds(20);
+  // Time in which the balancer notices that the daemon is not ready.
+  absl::Duration drain_balancer_delay = absl::Seconds(2);
+  absl::Duration drain_timeout = absl::Seconds(2);
+};
+
+// Everything outside a node that it uses; all of it outlives the node.
+struct PoolNodeEnvironment {
+  const Clock& clock;
+  Random& random;
+  Executor& executor;
+  Store& store;
+  PeerTransport& transport;
+  RunnerTransport& runners;
+  Metrics& metrics;
+  Timeline& timeline;
+};
+
+// The decision-making part of a daemon on a platform whose runners work under
+// leases: each failure domain's runners form a pool with one owner, and entry
+// daemons hand whole jobs to owners. Single-threaded: every call comes from the
+// control thread.
+class PoolNode : public PeerHandler {
+ public:
+  using AnswerCallback = std::function<void(const JobAnswer&)>;
+
+  PoolNode(const PoolNodeSettings& settings,
+           PoolNodeCodec codec,
+           uint64_t incarnation,
+           const PoolNodeEnvironment& environment,
+           std::unique_ptr<Scheduler> scheduler);
+  ~PoolNode() override;
+
+  void Start();
+  // Runs what is due; returns the time of the next call.
+  absl::Time Tick();
+
+  // The environment of a path; nullptr if there is none.
+  const RoutedDocument* FindRoute(std::string_view host,
+                                  std::string_view path) const;
+  // False until a configuration is known.
+  bool has_documents() const;
+  void Submit(JobSpec job,
+              const RoutedDocument& route,
+              AnswerCallback callback);
+  // The caller of a job in progress is gone: its answer is dropped.
+  void Abandon(const std::string& key);
+  // Ends a job wherever it is. `done` is told whether it was in progress.
+  void Cancel(const std::string& key, std::function<void(bool known)> done);
+
+  void OnPeerMessage(const MemberRecord& sender,
+                     const PeerMessage& message) override;
+  void OnPeerDisconnected(const std::string& peer_address) override;
+
+  // Starts a graceful shutdown; progress through `Tick`.
+  void BeginDrain();
+  bool drained() const;
+  bool ready() const;
+  MemberRecord self() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace radishrail
+
+#endif  // RADISHRAIL_POOL_NODE_H_
--- /dev/null
+++ b/include/radishrail/pool_router.h
@@ -0,0 +1,101 @@
+#ifndef RADISHRAIL_POOL_ROUTER_H_
+#define RADISHRAIL_POOL_ROUTER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "radishrail/clock.h"
+#include "radishrail/job.h"
+#include "radishrail/metrics.h"
+#include "radishrail/peer_message.h"
+#include "radishrail/peer_transport.h"
+#include "radishrail/pool_ownership.h"
+#include "radishrail/routed_documents.h"
+
+namespace radishrail {
+
+// The entry daemon's side: chooses the pool of each job, hands the job to the
+// pool's owner and matches the answer. A job is handed over once; if its owner
+// falls silent, the caller is told that the outcome is unknown, and the owner
+// is told to end the job. Single-threaded.
+class PoolRouter {
+ public:
+  using AnswerCallback = std::function<void(const JobAnswer&)>;
+  // Dispatches a job in this process.
+  using LocalSubmit =
+      std::function<void(JobSpec job,
+                         std::shared_ptr<const VersionedDocument> document,
+                         AnswerCallback callback)>;
+
+  PoolRouter(std::string vm,
+             std::string failure_domain,
+             uint64_t first_request,
+             const Clock& clock,
+             PeerTransport& transport,
+             const PoolOwnership& ownership,
+             LocalSubmit local,
+             Metrics& metrics);
+
+  // `callback` runs exactly once, unless the job is abandoned before.
+  void Submit(JobSpec job,
+              const RoutedDocument& route,
+              AnswerCallback callback);
+  // The caller is gone: ends the job, its answer is dropped.
+  void Abandon(std::string_view key, const std::function<void()>& end_local);
+  void OnReply(const PoolJobReply& reply);
+  void OnPeerDisconnected(const std::string& peer_address);
+  // The load in a claim is as old as the message that brought it.
+  void OnClaim(const PoolClaim& claim);
+  // Ends jobs whose owner is silent or past their deadline.
+  void Tick();
+
+  size_t pending() const { return pending_.size(); }
+  // True if jobs of this daemon are pending at the peer.
+  bool HasPendingAt(const std::string& address) const;
+
+ private:
+  struct Pending {
+    std::string key;
+    std::string pool;
+    std::string address;
+    uint64_t fence = 0;
+    absl::Time deadline;
+    AnswerCallback callback;
+  };
+
+  struct PoolLoad {
+    int slots = 0;
+    int busy = 0;  // with the jobs handed over since the last claim
+    absl::Duration backlog;
+  };
+
+  std::optional<std::string> Choose(int slots) const;
+  void Forward(const PoolClaim& owner,
+               JobSpec job,
+               const RoutedDocument& route,
+               AnswerCallback callback);
+  void Fail(uint64_t request, ErrorCode code, const char* reason);
+
+  const std::string vm_;
+  const std::string failure_domain_;
+  const Clock& clock_;
+  PeerTransport& transport_;
+  const PoolOwnership& ownership_;
+  const LocalSubmit local_;
+  Counter& forwarded_;
+  Counter& unknown_;
+  Counter& no_owner_;
+  uint64_t next_request_;
+  std::map<uint64_t, Pending> pending_;
+  absl::flat_hash_map<std::string, PoolLoad> loads_;
+};
+
+}  // namespace radishrail
+
+#endif  // RADISHRAIL_POOL_ROUTER_H_
--- /dev/null
+++ b/include/radishrail/pumped_executor.h
@@ -0,0 +1,72 @@
+#ifndef RADISHRAIL_PUMPED_EXECUTOR_H_
+#define RADISHRAIL_PUMPED_EXECUTOR_H_
+
+#include <functional>
+#include <utility>
+
+#include "absl/time/time.h"
+#include "radishrail/clock.h"
+#include "radishrail/executor.h"
+
+namespace radishrail {
+
+// Runs tasks on another executor, and `pump` after each batch of them and when
+// the time has come that the pump asked for. A node is thus called after each
+// event and at its due times, without polling.
+class PumpedExecutor : public Executor {
+ public:
+  // Returns the time at which it wants to run again at the latest.
+  using Pump = std::function<absl::Time()>;
+
+  PumpedExecutor(Executor& executor, const Clock& clock)
+      : executor_(executor), clock_(clock) {}
+
+  // Call it once, on the executor's thread or before any task is posted.
+  void SetPump(Pump pump) { pump_ = std::move(pump); }
+
+  void Post(std::function<void()> task) override {
+    executor_.Post([this, task = std::move(task)] {
+      task();
+      Request();
+    });
+  }
+  void PostDelayed(absl::Duration delay, std::function<void()> task) override {
+    executor_.PostDelayed(delay, [this, task = std::move(task)] {
+      task();
+      Request();
+    });
+  }
+
+ private:
+  // Tasks that were posted meanwhile run before the pump does.
+  void Request() {
+    if (!std::exchange(requested_, true)) {
+      executor_.Post([this] { Run(); });
+    }
+  }
+
+  void Run() {
+    requested_ = false;
+    const absl::Time due = pump_();
+    const absl::Time now = clock_.Monotonic();
+    if (due < timer_due_ || timer_due_ <= now) {
+      timer_due_ = due;
+      executor_.PostDelayed(due - now, [this, due] {
+        if (due == timer_due_) {
+          timer_due_ = absl::InfiniteFuture();
+          Run();
+        }
+      });
+    }
+  }
+
+  Executor& executor_;
+  const Clock& clock_;
+  Pump pump_;
+  bool requested_ = false;
+  absl::Time timer_due_ = absl::InfiniteFuture();
+};
+
+}  // namespace radishrail
+
+#endif  // RADISHRAIL_PUMPED_EXECUTOR_H_
--- /dev/null
+++ b/include/radishrail/routed_documents.h
@@ -0,0 +1,49 @@
+#ifndef RADISHRAIL_ROUTED_DOCUMENTS_H_
+#define RADISHRAIL_ROUTED_DOCUMENTS_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "radishrail/document_controller.h"
+#include "radishrail/error.h"
+
+namespace radishrail {
+
+// The environment that serves the requests of one host and path prefix.
+struct RoutedDocument {
+  std::string host;
+  std::string path_prefix;
+  std::shared_ptr<const VersionedDocument> document;
+  std::string upstream_class;
+  int max_failures = 1;
+  // Promised time of a job: `stretch` times its longest task, and `base` more.
+  double stretch = 0;
+  absl::Duration base = absl::ZeroDuration();
+};
+
+// All environments in force, as one version.
+struct RoutedDocuments {
+  int64_t version = 0;
+  std::string body;  // as stored, for peers
+  std::vector<RoutedDocument> routes;
+
+  // The route with the longest prefix of `path`; nullptr if there is none.
+  // Linear in the number of routes.
+  const RoutedDocument* Find(std::string_view host,
+                             std::string_view path) const;
+};
+
+// Decodes a stored body; fails with the reason.
+using DocumentsParser =
+    std::function<std::optional<RoutedDocuments>(std::string_view body,
+                                                 Error* error)>;
+
+}  // namespace radishrail
+
+#endif  // RADISHRAIL_ROUTED_DOCUMENTS_H_
--- a/include/radishrail/scheduler.h
+++ b/include/radishrail/scheduler.h
@@ -62,6 +62,12 @@
   absl::Duration retry_after;
 };
 
+struct SchedulerLoad {
+  int slots = 0;       // of accepting upstreams
+  int busy_slots = 0;  // occupied by placed tasks
+  absl::Duration backlog = absl::ZeroDuration();  // queued work per capacity
+};
+
 // Decides which jobs are admitted and which task starts next where. Does no
 // I/O; single-threaded. Ids of unknown jobs are ignored.
 class Scheduler {
@@ -92,6 +98,7 @@
   virtual void SetUpstream(const UpstreamCapacity& capacity) = 0;
   virtual void RemoveUpstream(UpstreamId upstream) = 0;
 
+  virtual SchedulerLoad load() const { return {}; }
   virtual size_t queued_tasks() const = 0;
   virtual size_t running_tasks() const = 0;
 };
--- a/include/radishrail/settings.h
+++ b/include/radishrail/settings.h
@@ -23,6 +23,7 @@
   std::string caller_address = "127.0.0.1:7300";
   std::string operator_address = "127.0.0.1:7301";
   std::string peer_address = "127.0.0.1:7302";
+  std::string ready_address = "127.0.0.1:7303";
   int caller_threads = 4;
   int upstream_threads = 4;
   LogLevel log_level = LogLevel::kInfo;
--- a/include/radishrail/store.h
+++ b/include/radishrail/store.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/time/time.h"
 #include "radishrail/error.h"
 
 namespace radishrail {
@@ -53,6 +54,8 @@
   VmState state = VmState::kLive;
   std::string upstream_class;
   int slots = 0;
+  // Distinguishes lives of a vm under one name; 0: unknown.
+  int64_t incarnation = 0;
 };
 
 // The platform's table, object store and VM list. Calls do not block; each
@@ -83,6 +86,32 @@
                          std::string body,
                          ObjectCallback callback) = 0;
   virtual void ListVms(VmCallback callback) = 0;
+
+  struct Changes {
+    std::vector<Row> rows;  // a deleted one has version 0
+    int64_t next = 0;       // version to watch from
+  };
+  using WatchCallback = std::function<void(std::optional<Changes>, Error)>;
+  // All rows whose key begins with `prefix` as of one moment.
+  virtual void Snapshot(const std::string& prefix, WatchCallback callback) {
+    static_cast<void>(prefix);
+    callback(std::nullopt, {ErrorCode::kInfeasible, Step::kPlatformRead, "",
+                            "the store reports no changes"});
+  }
+  // Waits until a row whose key begins with `prefix` changes after `version`,
+  // at most `wait`, and passes the changed rows. The error code `kNotFound`
+  // means that the changes after `version` are no longer known: take a snapshot
+  // again.
+  virtual void Watch(const std::string& prefix,
+                     int64_t version,
+                     absl::Duration wait,
+                     WatchCallback callback) {
+    static_cast<void>(prefix);
+    static_cast<void>(version);
+    static_cast<void>(wait);
+    callback(std::nullopt, {ErrorCode::kInfeasible, Step::kPlatformRead, "",
+                            "the store reports no changes"});
+  }
 };
 
 }  // namespace radishrail
--- /dev/null
+++ b/include/radishrail/store_watcher.h
@@ -0,0 +1,61 @@
+#ifndef RADISHRAIL_STORE_WATCHER_H_
+#define RADISHRAIL_STORE_WATCHER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "radishrail/executor.h"
+#include "radishrail/random.h"
+#include "radishrail/store.h"
+
+namespace radishrail {
+
+// Follows the rows of a prefix: a snapshot first, then changes. Goes on through
+// outages, and takes a new snapshot where the store has dropped its history.
+// Single-threaded.
+class StoreWatcher {
+ public:
+  // `whole`: the rows are all rows of the prefix, otherwise changed ones.
+  using RowsCallback =
+      std::function<void(const std::vector<Row>& rows, bool whole)>;
+
+  StoreWatcher(std::string prefix,
+               absl::Duration wait,
+               Store& store,
+               Executor& executor,
+               Random& random,
+               RowsCallback on_rows);
+
+  void Start();
+  void Stop() { stopped_ = true; }
+  // False from the first failed call until the next answer.
+  bool in_touch() const { return in_touch_; }
+
+ private:
+  void TakeSnapshot();
+  void Wait();
+  void OnFailure(const Error& error);
+  void OnAnswer();
+
+  const std::string prefix_;
+  const absl::Duration wait_;
+  Store& store_;
+  Executor& executor_;
+  Random& random_;
+  const RowsCallback on_rows_;
+  int64_t version_ = 0;
+  bool has_snapshot_ = false;
+  bool in_touch_ = true;
+  bool stopped_ = false;
+  int failures_ = 0;
+  // Expires with the watcher; the store may call back later.
+  const std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
+};
+
+}  // namespace radishrail
+
+#endif  // RADISHRAIL_STORE_WATCHER_H_
--- a/include/radishrail/upstream_client.h
+++ b/include/radishrail/upstream_client.h
@@ -23,12 +23,15 @@
   absl::Time start_by_wall;
   // Time after which the outcome is reported as unknown.
   absl::Duration timeout;
+  // Learned or declared; zero: unknown.
+  absl::Duration expected_run = absl::ZeroDuration();
 };
 
 enum class TaskOutcome {
   kDone,
   kFailed,      // the upstream ran it and reported a failure
   kNotStarted,  // certainly not started: no byte sent, or the upstream said so
+  kEnded,       // may have started, certainly no longer runs, has no result
   kUnknown,     // may have started
 };
 
@@ -48,6 +51,11 @@
   virtual ~UpstreamClient() = default;
   // Does not block; `callback` runs exactly once, on the control thread.
   virtual void Start(TaskStart start, Callback callback) = 0;
+  // Asks for the end of a run that was started; its callback still runs. Does
+  // nothing where upstreams cannot stop tasks.
+  virtual void Stop(const std::string& /*job_key*/,
+                    const std::string& /*task_id*/,
+                    int /*attempt*/) {}
 };
 
 }  // namespace radishrail
--- a/include/radishrail/upstream_registry.h
+++ b/include/radishrail/upstream_registry.h
@@ -19,7 +19,7 @@
 
 enum class UpstreamState {
   kHealthy,
-  kProbation,  // readmitted with one slot after an ejection
+  kProbation,  // readmitted with few slots after an ejection
   kEjected,
   kLeaving,
   kMaxValue = kLeaving,
@@ -35,6 +35,7 @@
   int ejection_failures = 5;
   absl::Duration ejection_time = absl::Seconds(5);
   absl::Duration max_ejection_time = absl::Seconds(60);
+  int probation_slots = 1;
 };
 
 struct UpstreamView {
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -5,6 +5,7 @@
 
 #include "CLI/CLI.hpp"
 #include "daemon.h"
+#include "platform_daemon.h"
 #include "radishrail/log.h"
 #include "radishrail/settings.h"
 
@@ -17,19 +18,26 @@
 constexpr absl::Duration kStopTimeout = absl::Seconds(5);
 constexpr absl::Duration kDrainSlack = absl::Seconds(10);
 
-// Blocks the termination signals in all threads; `sigwait` receives them.
+// Blocks the signals in all threads; `sigtimedwait` receives them.
 sigset_t BlockSignals() {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   signal(SIGPIPE, SIG_IGN);
   return signals;
 }
 
+// Settings take effect at the next start; a change is only logged.
+void LogReload() {
+  Log(LogLevel::kInfo, "reload asked for; settings apply at the next start");
+}
+
+template <typename AnyDaemon>
 int RunDaemon(const Settings& settings, const sigset_t& signals) {
-  Daemon daemon(settings);
+  AnyDaemon daemon(settings);
   Error error;
   if (!daemon.Start(&error)) {
     LogFailure("the daemon cannot start", error);
@@ -39,7 +47,10 @@
   // the same way.
   constexpr timespec kPoll = {0, 100'000'000};
   while (!daemon.WaitUntilDrained(absl::ZeroDuration())) {
-    if (sigtimedwait(&signals, nullptr, &kPoll) > 0) {
+    const int signal = sigtimedwait(&signals, nullptr, &kPoll);
+    if (signal == SIGHUP) {
+      LogReload();
+    } else if (signal > 0) {
       Log(LogLevel::kInfo, "graceful shutdown starts");
       daemon.BeginDrain();
       daemon.WaitUntilDrained(settings.drain_balancer_delay +
@@ -58,6 +69,9 @@
       "SIGTERM and SIGINT start a graceful shutdown.");
   std::string path;
   app.add_option("--config", path, "settings file (INI)")->required();
+  bool platform = false;
+  app.add_flag("--platform", platform,
+               "run on machines of the users' platform (see docs/platform.md)");
   app.set_version_flag("--version", RADISHRAIL_VERSION);
   app.footer(
       "Example:\n"
@@ -77,7 +91,8 @@
   }
   const sigset_t signals = BlockSignals();
   InitLogging(settings->log_level, settings->vm);
-  return RunDaemon(*settings, signals);
+  return platform ? RunDaemon<platform::PlatformDaemon>(*settings, signals)
+                  : RunDaemon<Daemon>(*settings, signals);
 }
 
 }  // namespace
--- a/src/job.cc
+++ b/src/job.cc
@@ -1,5 +1,6 @@
 #include "radishrail/job.h"
 
+#include <algorithm>
 #include <array>
 
 #include "name_table.h"
@@ -13,8 +14,23 @@
 constexpr std::array<std::string_view, 4> kJobStatuses = {"running", "complete",
                                                           "failed", "not_run"};
 
+int64_t DivideUp(int64_t n, int64_t unit) {
+  return (n + unit - 1) / unit;
+}
+
 }  // namespace
 
+int SlotsNeeded(const Room& room) {
+  return static_cast<int>(std::max<int64_t>(
+      {1, DivideUp(room.cpu_millis, kCpuMillisPerSlot),
+       DivideUp(room.memory_mb, kMemoryMbPerSlot)}));
+}
+
+int SlotsOffered(const Room& room) {
+  return static_cast<int>(std::min(room.cpu_millis / kCpuMillisPerSlot,
+                                   room.memory_mb / kMemoryMbPerSlot));
+}
+
 std::string_view TaskStatusName(TaskStatus status) {
   return internal::NameOf(kTaskStatuses, status);
 }
--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -149,6 +149,7 @@
       job->error = {ErrorCode::kCancelled, Step::kQueue, "",
                     "the caller cancelled the job"};
       DropQueued(*job);
+      StopRunning(*job);
       EndIfWhole(*job);
     }
     return true;
@@ -273,7 +274,12 @@
     demand.environment = spec.environment;
     demand.team = spec.team;
     demand.upstream_classes = document.document.upstream_classes;
-    demand.promise_by = now + document.document.promised;
+    if (!spec.upstream_class.empty()) {
+      demand.upstream_classes = {spec.upstream_class};
+    }
+    demand.promise_by = now + (spec.promised > absl::ZeroDuration()
+                                   ? spec.promised
+                                   : document.document.promised);
     demand.start_by = now + spec.deadline - kTransmissionMargin;
     demand.max_queued_tasks = document.document.max_queued_tasks;
     if (const TeamQuota* team = document.document.FindTeam(spec.team)) {
@@ -396,11 +402,15 @@
     start.task_id = spec.id;
     start.attempt = task.attempts;
     start.kind = spec.kind;
-    start.payload = spec.payload;
+    start.payload = spec.payload.empty() ? job.spec.payload : spec.payload;
     start.address = upstream.info.address;
     start.start_by_monotonic = job.start_by - kTransmissionMargin;
     start.start_by_wall = wall + (job.start_by - now);
     start.timeout = job.start_by - now;
+    start.expected_run = run_times_.Expected(task.kind);
+    if (start.expected_run == absl::ZeroDuration()) {
+      start.expected_run = spec.declared_run;
+    }
     // The client may call back before `Start` returns; `job` may be gone then.
     client_.Start(std::move(start),
                   [this, alive = std::weak_ptr<const bool>(alive_),
@@ -435,8 +445,15 @@
         OnDone(*job, ref, std::move(result));
         break;
       case TaskOutcome::kFailed:
-        OnFailed(*job, ref, TaskStatus::kFailed, ErrorCode::kUpstreamFailed,
-                 std::move(result.error));
+        if (++task.failures < job->spec.tasks[ref.task].max_failures) {
+          OnEnded(*job, ref, std::move(result.error));
+        } else {
+          OnFailed(*job, ref, TaskStatus::kFailed, ErrorCode::kUpstreamFailed,
+                   std::move(result.error));
+        }
+        break;
+      case TaskOutcome::kEnded:
+        OnEnded(*job, ref, std::move(result.error));
         break;
       case TaskOutcome::kNotStarted:
         OnNotStarted(*job, ref, std::move(result.error));
@@ -503,6 +520,19 @@
     return error;
   }
 
+  // A run ended without a result. Only a restartable task may run again.
+  void OnEnded(Job& job, TaskRef ref, Error error) {
+    if (!job.spec.tasks[ref.task].restartable) {
+      OnFailed(job, ref, TaskStatus::kUnknown, ErrorCode::kOutcomeUnknown,
+               std::move(error));
+    } else if (!job.error.ok()) {
+      OnFailed(job, ref, TaskStatus::kUnknown, ErrorCode::kCancelled,
+               std::move(error));
+    } else {
+      OnNotStarted(job, ref, std::move(error));
+    }
+  }
+
   void OnNotStarted(Job& job, TaskRef ref, Error error) {
     Task& task = job.tasks[ref.task];
     error = WithContext(job, ref, std::move(error), ErrorCode::kUpstreamBusy);
@@ -519,6 +549,7 @@
     }
     metrics_.retries.Add();
     task.status = TaskStatus::kQueued;
+    task.stopping = false;
     --job.running;
     ++job.queued;
     scheduler_.Requeue(ref, now + backoff, task.upstream);
@@ -588,10 +619,23 @@
           "task ", job.spec.tasks[index].id, ": ", Absl(TaskStatusName(status)),
           task.error.detail.empty() ? "" : ": ", task.error.detail);
       DropQueued(job);
+      StopRunning(job);
     }
     EndIfWhole(job);
   }
 
+  // Ends the runs of a job that cannot complete, where the upstream can.
+  void StopRunning(Job& job) {
+    for (size_t i = 0; i < job.tasks.size(); ++i) {
+      Task& task = job.tasks[i];
+      if (task.status == TaskStatus::kRunning && !task.stopping &&
+          job.spec.tasks[i].restartable) {
+        task.stopping = true;
+        client_.Stop(job.spec.key, job.spec.tasks[i].id, task.attempts);
+      }
+    }
+  }
+
   // Linear in the tasks of the job and called once per job, hence constant per
   // task over the life of a job.
   void DropQueued(Job& job) {
@@ -631,7 +675,9 @@
     // Of a job that did not run, nothing is remembered, so that the caller can
     // submit it again. A cancelled key stays, so that a delayed duplicate of
     // its submission does not run it.
-    if (answer.status != JobStatus::kNotRun || job.cancelled) {
+    if (job.spec.best_effort) {
+      keys_.Remove(record);
+    } else if (answer.status != JobStatus::kNotRun || job.cancelled) {
       record.answer_json = JobAnswerToJson(answer);
       record.answer_json.shrink_to_fit();
       keys_.Retain(record, clock_.Monotonic());
@@ -730,6 +776,7 @@
                        absl::ToInt64Milliseconds(job.spec.deadline), " ms")};
     }
     DropQueued(job);
+    StopRunning(job);
     for (uint32_t i = 0; i < job.tasks.size(); ++i) {
       Task& task = job.tasks[i];
       if (task.status == TaskStatus::kRunning) {
--- a/src/job_record.h
+++ b/src/job_record.h
@@ -20,6 +20,8 @@
 struct Task {
   TaskStatus status = TaskStatus::kQueued;
   int attempts = 0;  // hand-overs so far
+  int failures = 0;  // runs that ended as failed
+  bool stopping = false;
   UpstreamId upstream = 0;
   uint32_t kind = 0;
   double speed = 1;  // of the upstream at the hand-over
--- /dev/null
+++ b/src/leased_upstream_client.cc
@@ -0,0 +1,751 @@
+#include "radishrail/leased_upstream_client.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/str_cat.h"
+#include "radishrail/log.h"
+
+namespace radishrail {
+
+namespace {
+
+// A lease covers this many times the expected run time, so that most runs need
+// no extension, and a run on a lost runner ends early.
+constexpr double kLeaseFactor = 3;
+constexpr absl::Duration kMinLease = absl::Milliseconds(400);
+// Share of the longest lease after which it is extended.
+constexpr double kExtendAfter = 0.5;
+// Runners' clocks may be slow by this share.
+constexpr double kClockTolerance = 0.02;
+// Time between two attempts to reach a runner that does not answer.
+constexpr absl::Duration kContactRetry = absl::Milliseconds(300);
+constexpr absl::Duration kMaxContactRetry = absl::Seconds(2);
+// Ends of an idle runner are acknowledged after this time.
+constexpr absl::Duration kIdleAcknowledge = absl::Milliseconds(1500);
+// Time between two attempts to stop a run.
+constexpr absl::Duration kStopRetry = absl::Milliseconds(100);
+
+enum class Phase {
+  kStarting,  // the order is on its way
+  kRunning,   // the runner said that it runs
+  kDoubtful,  // no answer to the order
+};
+
+struct RunKey {
+  std::string job_key;
+  std::string task_id;
+  uint32_t run = 0;
+  friend bool operator<(const RunKey& a, const RunKey& b) {
+    return std::tie(a.job_key, a.task_id, a.run) <
+           std::tie(b.job_key, b.task_id, b.run);
+  }
+};
+
+struct Run {
+  Phase phase = Phase::kStarting;
+  UpstreamClient::Callback callback;
+  absl::Time started;
+  absl::Time expected_end;
+  absl::Time send_by;
+  bool stop_wanted = false;
+  bool stop_pending = false;
+  bool stop_done = false;
+  absl::Time next_stop = absl::InfinitePast();
+  // A list that was asked for later than this tells whether the run exists.
+  absl::Time listed_after = absl::InfiniteFuture();
+};
+
+struct Runner {
+  VmInfo info;
+  uint64_t fence = 0;
+  int64_t incarnation = 0;  // as the runner itself said
+  uint64_t last_seen = 0;   // newest end that was received
+  uint64_t acknowledged = 0;
+  bool clean = false;  // in touch, and without runs of a former owner
+  bool gone = false;   // another life answers at the address
+  // The runner's clock showed `clock_ms` between these two instants.
+  int64_t clock_ms = 0;
+  absl::Time clock_sent;
+  absl::Time clock_received;
+  // The runner's clock at the end of the longest lease that it may have.
+  int64_t lease_until_ms = 0;
+  bool hold_pending = false;
+  bool hold_waits = false;  // the pending one is answered when a run ends
+  uint64_t hold_number = 0;
+  absl::Time hold_sent;
+  absl::Time next_hold = absl::InfinitePast();
+  absl::Duration retry = kContactRetry;
+  std::map<RunKey, Run> runs;
+  // Runs of a former owner, or of a job that ended here.
+  std::map<RunKey, absl::Time> strangers;  // time of the next stop
+};
+
+TaskResult MakeResult(TaskOutcome outcome, ErrorCode code, std::string detail) {
+  TaskResult result;
+  result.outcome = outcome;
+  if (code != ErrorCode::kOk) {
+    result.error = {code, Step::kExecution, "", std::move(detail)};
+  }
+  return result;
+}
+
+}  // namespace
+
+class LeasedUpstreamClient::Impl {
+ public:
+  Impl(const Clock& clock,
+       RunnerTransport& transport,
+       const LeaseSettings& settings,
+       Metrics& metrics,
+       std::function<void(const std::string& pool)> on_fenced,
+       std::function<void()> on_usable)
+      : clock_(clock),
+        transport_(transport),
+        settings_(settings),
+        on_fenced_(std::move(on_fenced)),
+        on_usable_(std::move(on_usable)),
+        starts_(metrics.counter("radishrail_runner_starts_total",
+                                "Orders to start a task")),
+        rejected_(metrics.counter("radishrail_runner_starts_rejected_total",
+                                  "Orders to start that runners refused")),
+        lost_(metrics.counter("radishrail_runner_orders_lost_total",
+                              "Orders without an answer")),
+        holds_(metrics.counter("radishrail_runner_holds_total",
+                               "Looks at the lists of runners")),
+        stops_(metrics.counter("radishrail_runner_stops_total",
+                               "Orders to stop a run")) {}
+
+  void SetRunners(const std::vector<OwnedRunner>& runners);
+  bool Usable(const std::string& vm) const {
+    const auto it = runners_.find(vm);
+    return it != runners_.end() && it->second->clean;
+  }
+  void Start(TaskStart start, Callback callback);
+  void Stop(const std::string& job_key, const std::string& task_id, int run);
+  absl::Time Tick();
+  size_t runs() const {
+    size_t n = 0;
+    for (const auto& [vm, runner] : runners_) {
+      n += runner->runs.size();
+    }
+    return n;
+  }
+
+ private:
+  using RunnerPointer = std::shared_ptr<Runner>;
+
+  RunnerPointer FindByAddress(const std::string& address) const {
+    const auto it = vm_of_address_.find(address);
+    if (it == vm_of_address_.end()) {
+      return nullptr;
+    }
+    const auto runner = runners_.find(it->second);
+    return runner == runners_.end() ? nullptr : runner->second;
+  }
+  // Late callbacks find out that the runner is no longer this daemon's.
+  bool IsCurrent(const RunnerPointer& runner) const {
+    const auto it = runners_.find(runner->info.vm);
+    return it != runners_.end() && it->second == runner;
+  }
+
+  absl::Time Now() const { return clock_.Monotonic(); }
+  void LearnClock(Runner& runner, int64_t clock_ms, absl::Time sent);
+  // The least that the runner's clock shows now.
+  int64_t ClockMs(const Runner& runner) const;
+  int64_t LeaseUntil(Runner& runner, absl::Duration lease);
+  // When all leases that the runner may have are over for certain.
+  absl::Time LeaseOver(const Runner& runner) const;
+
+  void OnStartReply(const RunnerPointer& runner,
+                    const RunKey& key,
+                    absl::Time sent,
+                    const OrderReply& reply);
+  void Doubt(Runner& runner, Run& run);
+  void SendStop(const RunnerPointer& runner, const RunKey& key, Run& run);
+  void SendStrangerStop(const RunnerPointer& runner, const RunKey& key);
+  void SendHold(const RunnerPointer& runner);
+  void OnHoldReply(const RunnerPointer& runner,
+                   uint64_t number,
+                   absl::Time sent,
+                   const HoldReply& reply);
+  void OnHoldFailed(const RunnerPointer& runner, const OrderReply& reply);
+  void ReadLists(const RunnerPointer& runner,
+                 absl::Time sent,
+                 const HoldReply& reply);
+  void OnEnd(const RunnerPointer& runner, const EndedRun& ended);
+  void EndAll(const RunnerPointer& runner,
+              TaskOutcome outcome,
+              ErrorCode code,
+              const char* reason);
+  void Finish(const RunnerPointer& runner, const RunKey& key, TaskResult result);
+  void SetClean(const RunnerPointer& runner, bool clean);
+  void TickRunner(const RunnerPointer& runner, absl::Time now);
+  absl::Time NextDue(const Runner& runner) const;
+  // A hold that waits does not keep others from being sent, since it may return
+  // only when a run ends.
+  static bool MayHold(const Runner& runner) {
+    return !runner.gone && (!runner.hold_pending || runner.hold_waits);
+  }
+
+  const Clock& clock_;
+  RunnerTransport& transport_;
+  const LeaseSettings settings_;
+  const std::function<void(const std::string& pool)> on_fenced_;
+  const std::function<void()> on_usable_;
+  Counter& starts_;
+  Counter& rejected_;
+  Counter& lost_;
+  Counter& holds_;
+  Counter& stops_;
+  absl::flat_hash_map<std::string, RunnerPointer> runners_;
+  absl::flat_hash_map<std::string, std::string> vm_of_address_;
+};
+
+void LeasedUpstreamClient::Impl::SetRunners(
+    const std::vector<OwnedRunner>& runners) {
+  absl::flat_hash_map<std::string, RunnerPointer> former;
+  former.swap(runners_);
+  vm_of_address_.clear();
+  for (const auto& it : runners) {
+    RunnerPointer runner;
+    const auto known = former.find(it.info.vm);
+    // Another address or fence means a new relation to the runner.
+    if (known != former.end() &&
+        known->second->info.address == it.info.address &&
+        known->second->fence == it.fence &&
+        (known->second->info.incarnation == it.info.incarnation ||
+         it.info.incarnation == 0)) {
+      runner = std::move(known->second);
+      former.erase(known);
+    } else {
+      runner = std::make_shared<Runner>();
+      runner->fence = it.fence;
+    }
+    runner->info = it.info;
+    vm_of_address_[it.info.address] = it.info.vm;
+    runners_[it.info.vm] = std::move(runner);
+  }
+  for (auto& [vm, runner] : former) {
+    const auto successor = runners_.find(vm);
+    const bool new_life =
+        successor != runners_.end() &&
+        successor->second->info.incarnation != runner->info.incarnation;
+    EndAll(runner, new_life ? TaskOutcome::kEnded : TaskOutcome::kUnknown,
+           ErrorCode::kConnectionBroken, "the runner has left");
+  }
+}
+
+void LeasedUpstreamClient::Impl::LearnClock(Runner& runner,
+                                            int64_t clock_ms,
+                                            absl::Time sent) {
+  if (clock_ms > 0) {
+    runner.clock_ms = clock_ms;
+    runner.clock_sent = sent;
+    runner.clock_received = Now();
+  }
+}
+
+int64_t LeasedUpstreamClient::Impl::ClockMs(const Runner& runner) const {
+  const absl::Duration passed = Now() - runner.clock_received;
+  return runner.clock_ms + static_cast<int64_t>(
+                               absl::ToDoubleMilliseconds(passed) *
+                               (1 - kClockTolerance));
+}
+
+int64_t LeasedUpstreamClient::Impl::LeaseUntil(Runner& runner,
+                                               absl::Duration lease) {
+  const int64_t until =
+      ClockMs(runner) + absl::ToInt64Milliseconds(
+                            std::min(lease, settings_.max_lease));
+  runner.lease_until_ms = std::max(runner.lease_until_ms, until);
+  return until;
+}
+
+absl::Time LeasedUpstreamClient::Impl::LeaseOver(const Runner& runner) const {
+  const int64_t left = std::max<int64_t>(
+      0, runner.lease_until_ms - ClockMs(runner));
+  return Now() + absl::Milliseconds(left) / (1 - kClockTolerance) +
+         settings_.stop_time;
+}
+
+void LeasedUpstreamClient::Impl::Start(TaskStart start, Callback callback) {
+  const RunnerPointer runner = FindByAddress(start.address);
+  if (runner == nullptr || !runner->clean) {
+    callback(MakeResult(TaskOutcome::kNotStarted, ErrorCode::kNotReady,
+                        "the runner is not in touch"));
+    return;
+  }
+  const absl::Time now = Now();
+  const absl::Duration expected =
+      start.expected_run > absl::ZeroDuration() ? start.expected_run
+                                                : settings_.max_lease;
+  const RunKey key{start.job_key, start.task_id,
+                   static_cast<uint32_t>(start.attempt)};
+  Run run;
+  run.callback = std::move(callback);
+  run.started = now;
+  run.expected_end = now + expected;
+  run.send_by = std::min(start.start_by_monotonic, now + kMinLease / 2);
+  runner->runs[key] = std::move(run);
+  StartOrder order;
+  order.runner = {runner->info.vm, runner->info.address};
+  order.job_key = start.job_key;
+  order.task_id = start.task_id;
+  order.run = key.run;
+  order.payload = std::move(start.payload);
+  order.lease_until_ms =
+      LeaseUntil(*runner, std::max(kMinLease, expected * kLeaseFactor));
+  order.fence = runner->fence;
+  order.timeout = settings_.order_timeout;
+  order.send_by = runner->runs[key].send_by;
+  starts_.Add();
+  transport_.Start(std::move(order),
+                   [this, runner, key, now](const OrderReply& reply) {
+                     OnStartReply(runner, key, now, reply);
+                   });
+}
+
+void LeasedUpstreamClient::Impl::OnStartReply(const RunnerPointer& runner,
+                                              const RunKey& key,
+                                              absl::Time sent,
+                                              const OrderReply& reply) {
+  LearnClock(*runner, reply.clock_ms, sent);
+  const auto it = runner->runs.find(key);
+  if (it == runner->runs.end()) {
+    return;
+  }
+  Run& run = it->second;
+  const auto refuse = [&](ErrorCode code) {
+    rejected_.Add();
+    Finish(runner, key,
+           MakeResult(TaskOutcome::kNotStarted, code, reply.error.detail));
+  };
+  switch (reply.status) {
+    case OrderStatus::kDone:
+      if (run.phase == Phase::kStarting) {
+        run.phase = Phase::kRunning;
+        run.listed_after = Now();
+        if (!runner->hold_pending) {
+          runner->next_hold = std::min(runner->next_hold, Now());
+        }
+      }
+      if (run.stop_wanted && !run.stop_pending && !run.stop_done) {
+        SendStop(runner, key, run);
+      }
+      break;
+    case OrderStatus::kFenced:
+      refuse(ErrorCode::kLeaseInvalid);
+      if (IsCurrent(runner)) {
+        on_fenced_(runner->info.failure_domain);
+      }
+      break;
+    case OrderStatus::kOtherLife:
+      refuse(ErrorCode::kUnreachable);
+      runner->gone = true;
+      SetClean(runner, false);
+      EndAll(runner, TaskOutcome::kEnded, ErrorCode::kUnreachable,
+             "another life of the runner answers");
+      break;
+    case OrderStatus::kStale:
+    case OrderStatus::kLate:
+    case OrderStatus::kNoRoom:
+    case OrderStatus::kInvalid:
+      refuse(ErrorCode::kUpstreamBusy);
+      break;
+    case OrderStatus::kUnhealthy:
+      refuse(ErrorCode::kUnreachable);
+      break;
+    case OrderStatus::kNotSent:
+      refuse(reply.error.code == ErrorCode::kDeadlineExceeded
+                 ? ErrorCode::kDeadlineExceeded
+                 : ErrorCode::kUnreachable);
+      if (reply.error.code != ErrorCode::kDeadlineExceeded) {
+        SetClean(runner, false);
+      }
+      break;
+    case OrderStatus::kNoAnswer:
+      lost_.Add();
+      Doubt(*runner, run);
+      SendStop(runner, key, run);
+      break;
+  }
+}
+
+// The order may still be carried out. A stop of the run makes a later start
+// fail as stale; without an answer to the stop, the lease in the order bounds
+// the time in which it can start.
+void LeasedUpstreamClient::Impl::Doubt(Runner& runner, Run& run) {
+  run.phase = Phase::kDoubtful;
+  run.stop_wanted = true;
+  runner.next_hold = std::min(runner.next_hold, Now());
+}
+
+void LeasedUpstreamClient::Impl::Stop(const std::string& job_key,
+                                      const std::string& task_id,
+                                      int attempt) {
+  const RunKey key{job_key, task_id, static_cast<uint32_t>(attempt)};
+  for (const auto& [vm, runner] : runners_) {
+    const auto it = runner->runs.find(key);
+    if (it == runner->runs.end()) {
+      continue;
+    }
+    Run& run = it->second;
+    run.stop_wanted = true;
+    if (run.phase != Phase::kStarting && !run.stop_pending && !run.stop_done) {
+      SendStop(runner, key, run);
+    }
+    return;
+  }
+}
+
+void LeasedUpstreamClient::Impl::SendStop(const RunnerPointer& runner,
+                                          const RunKey& key,
+                                          Run& run) {
+  run.stop_pending = true;
+  stops_.Add();
+  transport_.Stop(
+      {{runner->info.vm, runner->info.address},
+       key.job_key,
+       key.task_id,
+       key.run,
+       runner->fence,
+       settings_.order_timeout},
+      [this, runner, key](const OrderReply& reply) {
+        const auto it = runner->runs.find(key);
+        if (it == runner->runs.end()) {
+          return;
+        }
+        Run& stopped = it->second;
+        stopped.stop_pending = false;
+        if (reply.status == OrderStatus::kDone) {
+          stopped.stop_done = true;
+          stopped.listed_after = Now() + settings_.stop_time;
+          runner->next_hold =
+              std::min(runner->next_hold, stopped.listed_after);
+        } else {
+          stopped.next_stop = Now() + kStopRetry;
+        }
+      });
+}
+
+void LeasedUpstreamClient::Impl::SendStrangerStop(const RunnerPointer& runner,
+                                                  const RunKey& key) {
+  stops_.Add();
+  transport_.Stop({{runner->info.vm, runner->info.address},
+                   key.job_key,
+                   key.task_id,
+                   key.run,
+                   runner->fence,
+                   settings_.order_timeout},
+                  [](const OrderReply&) {});
+}
+
+void LeasedUpstreamClient::Impl::SendHold(const RunnerPointer& runner) {
+  const absl::Time now = Now();
+  HoldOrder order;
+  order.runner = {runner->info.vm, runner->info.address};
+  order.fence = runner->fence;
+  order.last_seen = runner->last_seen;
+  const bool running = std::any_of(
+      runner->runs.begin(), runner->runs.end(),
+      [](const auto& it) { return it.second.phase == Phase::kRunning; });
+  const bool settling = std::any_of(
+      runner->runs.begin(), runner->runs.end(), [](const auto& it) {
+        return it.second.phase == Phase::kDoubtful || it.second.stop_wanted;
+      });
+  if (running && runner->clean) {
+    order.lease_until_ms = LeaseUntil(*runner, settings_.max_lease);
+    if (!settling) {
+      order.wait = settings_.max_lease * kExtendAfter;
+    }
+  }
+  order.timeout = order.wait + settings_.order_timeout;
+  runner->hold_pending = true;
+  runner->hold_waits = order.wait > absl::ZeroDuration();
+  runner->hold_sent = now;
+  runner->next_hold = absl::InfiniteFuture();
+  const uint64_t number = ++runner->hold_number;
+  const uint64_t acknowledged = order.last_seen;
+  holds_.Add();
+  transport_.Hold(std::move(order), [this, runner, number, now, acknowledged](
+                                        const HoldReply& reply) {
+    if (reply.order.status == OrderStatus::kDone) {
+      runner->acknowledged = std::max(runner->acknowledged, acknowledged);
+    }
+    OnHoldReply(runner, number, now, reply);
+  });
+}
+
+void LeasedUpstreamClient::Impl::OnHoldReply(const RunnerPointer& runner,
+                                             uint64_t number,
+                                             absl::Time sent,
+                                             const HoldReply& reply) {
+  // A hold that waited says nothing about the instant at which the runner read
+  // its clock, so the time of the answer bounds it from below.
+  LearnClock(*runner, reply.order.clock_ms, sent);
+  const bool newest = number == runner->hold_number;
+  if (newest) {
+    runner->hold_pending = false;
+  }
+  if (!IsCurrent(runner)) {
+    return;
+  }
+  if (reply.order.status != OrderStatus::kDone) {
+    OnHoldFailed(runner, reply.order);
+    return;
+  }
+  runner->retry = kContactRetry;
+  ReadLists(runner, sent, reply);
+  if (newest && IsCurrent(runner) && !runner->runs.empty()) {
+    runner->next_hold = std::min(runner->next_hold, Now());
+  }
+}
+
+void LeasedUpstreamClient::Impl::OnHoldFailed(const RunnerPointer& runner,
+                                              const OrderReply& reply) {
+  runner->next_hold = Now() + runner->retry;
+  runner->retry = std::min(runner->retry * 2, kMaxContactRetry);
+  switch (reply.status) {
+    case OrderStatus::kFenced:
+      on_fenced_(runner->info.failure_domain);
+      return;
+    case OrderStatus::kOtherLife:
+      runner->gone = true;
+      SetClean(runner, false);
+      EndAll(runner, TaskOutcome::kEnded, ErrorCode::kUnreachable,
+             "another life of the runner answers");
+      return;
+    case OrderStatus::kUnhealthy:
+      return;
+    default:
+      lost_.Add();
+      SetClean(runner, false);
+  }
+}
+
+void LeasedUpstreamClient::Impl::ReadLists(const RunnerPointer& runner,
+                                           absl::Time sent,
+                                           const HoldReply& reply) {
+  if (reply.incarnation != 0 && runner->incarnation != 0 &&
+      reply.incarnation != runner->incarnation) {
+    EndAll(runner, TaskOutcome::kEnded, ErrorCode::kUnreachable,
+           "the runner began another life");
+    runner->last_seen = 0;
+    runner->lease_until_ms = 0;
+  }
+  if (reply.incarnation != 0) {
+    runner->incarnation = reply.incarnation;
+  }
+  for (const auto& it : reply.ended) {
+    if (it.number > runner->last_seen) {
+      runner->last_seen = it.number;
+      OnEnd(runner, it);
+    }
+  }
+  std::map<RunKey, bool> active;
+  for (const auto& it : reply.active) {
+    const RunKey key{it.job_key, it.task_id, it.run};
+    active[key] = true;
+    if (!runner->runs.contains(key)) {
+      runner->strangers.try_emplace(key, absl::InfinitePast());
+    }
+  }
+  std::erase_if(runner->strangers, [&](const auto& it) {
+    return !active.contains(it.first);
+  });
+  std::vector<RunKey> missing;
+  for (const auto& [key, run] : runner->runs) {
+    if (!active.contains(key) && run.listed_after <= sent) {
+      missing.push_back(key);
+    }
+  }
+  for (const auto& it : missing) {
+    Finish(runner, it,
+           MakeResult(TaskOutcome::kEnded, ErrorCode::kUnreachable,
+                      "the runner has no record of the run"));
+  }
+  for (auto& [key, next_stop] : runner->strangers) {
+    if (next_stop <= Now()) {
+      next_stop = Now() + kStopRetry;
+      SendStrangerStop(runner, key);
+    }
+  }
+  SetClean(runner, runner->strangers.empty() && runner->clock_ms > 0);
+  if (!runner->strangers.empty()) {
+    runner->next_hold = Now() + settings_.stop_time;
+  }
+}
+
+void LeasedUpstreamClient::Impl::OnEnd(const RunnerPointer& runner,
+                                       const EndedRun& ended) {
+  const RunKey key{ended.job_key, ended.task_id, ended.run};
+  switch (ended.end) {
+    case RunEnd::kDone:
+      Finish(runner, key, MakeResult(TaskOutcome::kDone, ErrorCode::kOk, ""));
+      break;
+    case RunEnd::kFailed:
+      Finish(runner, key,
+             MakeResult(TaskOutcome::kFailed, ErrorCode::kUpstreamFailed,
+                        "the run failed"));
+      break;
+    case RunEnd::kLapsed:
+      Finish(runner, key,
+             MakeResult(TaskOutcome::kEnded, ErrorCode::kLeaseInvalid,
+                        "the lease of the run lapsed"));
+      break;
+    default:
+      Finish(runner, key,
+             MakeResult(TaskOutcome::kEnded, ErrorCode::kCancelled,
+                        "the run was stopped"));
+  }
+}
+
+void LeasedUpstreamClient::Impl::EndAll(const RunnerPointer& runner,
+                                        TaskOutcome outcome,
+                                        ErrorCode code,
+                                        const char* reason) {
+  while (!runner->runs.empty()) {
+    Finish(runner, RunKey(runner->runs.begin()->first),
+           MakeResult(outcome, code, reason));
+  }
+}
+
+void LeasedUpstreamClient::Impl::Finish(const RunnerPointer& runner,
+                                        const RunKey& key,
+                                        TaskResult result) {
+  const auto it = runner->runs.find(key);
+  if (it == runner->runs.end()) {
+    return;
+  }
+  const Callback callback = std::move(it->second.callback);
+  result.run_time = Now() - it->second.started;
+  runner->runs.erase(it);
+  callback(std::move(result));
+}
+
+void LeasedUpstreamClient::Impl::SetClean(const RunnerPointer& runner,
+                                          bool clean) {
+  if (runner->clean != clean) {
+    runner->clean = clean;
+    Log(LogLevel::kInfo, clean ? "runner in touch" : "runner out of touch",
+        {{"upstream", runner->info.vm},
+         {"strangers", absl::StrCat(runner->strangers.size())},
+         {"runs", absl::StrCat(runner->runs.size())}});
+    if (!clean) {
+      runner->next_hold =
+          std::min(runner->next_hold, Now() + settings_.stop_time);
+    }
+    on_usable_();
+  }
+}
+
+absl::Time LeasedUpstreamClient::Impl::NextDue(const Runner& runner) const {
+  absl::Time due = absl::InfiniteFuture();
+  if (!runner.clean || !runner.runs.empty()) {
+    due = MayHold(runner) ? runner.next_hold : due;
+  } else if (runner.last_seen > runner.acknowledged && !runner.hold_pending) {
+    due = runner.hold_sent + kIdleAcknowledge;
+  }
+  for (const auto& [key, run] : runner.runs) {
+    if (run.stop_wanted && !run.stop_pending && !run.stop_done &&
+        run.phase != Phase::kStarting) {
+      due = std::min(due, run.next_stop);
+    }
+    if (!runner.clean || run.phase == Phase::kDoubtful) {
+      due = std::min(due, LeaseOver(runner));
+    }
+  }
+  return due;
+}
+
+void LeasedUpstreamClient::Impl::TickRunner(const RunnerPointer& runner,
+                                            absl::Time now) {
+  std::vector<RunKey> over;
+  for (auto& [key, run] : runner->runs) {
+    if (run.stop_wanted && !run.stop_pending && !run.stop_done &&
+        run.phase != Phase::kStarting && run.next_stop <= now) {
+      SendStop(runner, key, run);
+    }
+    // A run whose order is on its way has not begun its lease for certain.
+    if (run.phase != Phase::kStarting && LeaseOver(*runner) <= now) {
+      over.push_back(key);
+    }
+  }
+  const bool reachable = runner->clean && runner->hold_pending;
+  if (!reachable) {
+    for (const auto& it : over) {
+      Finish(runner, it,
+             MakeResult(TaskOutcome::kEnded, ErrorCode::kUnreachable,
+                        "the lease passed without an answer"));
+    }
+  }
+  const bool idle = runner->clean && runner->runs.empty();
+  const bool due =
+      idle ? runner->last_seen > runner->acknowledged &&
+                 runner->hold_sent + kIdleAcknowledge <= now
+           : runner->next_hold <= now;
+  if (due && MayHold(*runner)) {
+    SendHold(runner);
+  }
+}
+
+absl::Time LeasedUpstreamClient::Impl::Tick() {
+  const absl::Time now = Now();
+  absl::Time due = absl::InfiniteFuture();
+  std::vector<RunnerPointer> all;
+  all.reserve(runners_.size());
+  for (const auto& [vm, runner] : runners_) {
+    if (NextDue(*runner) <= now) {
+      all.push_back(runner);
+    }
+  }
+  for (const auto& it : all) {
+    TickRunner(it, now);
+  }
+  for (const auto& [vm, runner] : runners_) {
+    due = std::min(due, NextDue(*runner));
+  }
+  return due;
+}
+
+LeasedUpstreamClient::LeasedUpstreamClient(
+    const Clock& clock,
+    RunnerTransport& transport,
+    const LeaseSettings& settings,
+    Metrics& metrics,
+    std::function<void(const std::string& pool)> on_fenced,
+    std::function<void()> on_usable)
+    : impl_(std::make_unique<Impl>(clock,
+                                   transport,
+                                   settings,
+                                   metrics,
+                                   std::move(on_fenced),
+                                   std::move(on_usable))) {}
+LeasedUpstreamClient::~LeasedUpstreamClient() = default;
+
+void LeasedUpstreamClient::SetRunners(const std::vector<OwnedRunner>& runners) {
+  impl_->SetRunners(runners);
+}
+bool LeasedUpstreamClient::Usable(const std::string& vm) const {
+  return impl_->Usable(vm);
+}
+void LeasedUpstreamClient::Start(TaskStart start, Callback callback) {
+  impl_->Start(std::move(start), std::move(callback));
+}
+void LeasedUpstreamClient::Stop(const std::string& job_key,
+                                const std::string& task_id,
+                                int attempt) {
+  impl_->Stop(job_key, task_id, attempt);
+}
+absl::Time LeasedUpstreamClient::Tick() {
+  return impl_->Tick();
+}
+size_t LeasedUpstreamClient::runs() const {
+  return impl_->runs();
+}
+
+}  // namespace radishrail
--- a/src/peer_message.cc
+++ b/src/peer_message.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "name_table.h"
+#include "radishrail/job.h"
 
 namespace radishrail {
 
@@ -31,7 +32,12 @@
                      "document_push",
                      "slot_request",
                      "slot_grant",
-                     "upstream_leaving"};
+                     "upstream_leaving",
+                     "pool_status",
+                     "pool_job_request",
+                     "pool_job_reply",
+                     "pool_job_cancel",
+                     "pool_job_cancel_reply"};
 
 // A frame's payload is an array of the message's type and its fields.
 template <size_t kIndex = 0>
@@ -70,6 +76,10 @@
   if (const auto* forward = std::get_if<ForwardRequest>(&message)) {
     return forward->method <= ForwardMethod::kMaxValue;
   }
+  if (const auto* reply = std::get_if<PoolJobReply>(&message)) {
+    return reply->status <= static_cast<uint32_t>(JobStatus::kMaxValue) &&
+           reply->error <= static_cast<uint32_t>(ErrorCode::kMaxValue);
+  }
   return true;
 }
 
--- a/src/policy_scheduler.cc
+++ b/src/policy_scheduler.cc
@@ -175,6 +175,15 @@
   std::vector<uint64_t> TakeHopeless();
   void SetUpstream(const UpstreamCapacity& capacity) { pools_.Set(capacity); }
   void RemoveUpstream(UpstreamId upstream) { pools_.Remove(upstream); }
+  SchedulerLoad load() const {
+    SchedulerLoad load;
+    load.slots = pools_.total_slots();
+    for (const auto& it : groups_) {
+      load.busy_slots += it.running_slots;
+    }
+    load.backlog = absl::Seconds(queued_work_s_ / Capacity());
+    return load;
+  }
   size_t queued_tasks() const { return queued_; }
   size_t running_tasks() const { return running_; }
 
@@ -1115,6 +1124,9 @@
 void PolicyScheduler::RemoveUpstream(UpstreamId upstream) {
   impl_->RemoveUpstream(upstream);
 }
+SchedulerLoad PolicyScheduler::load() const {
+  return impl_->load();
+}
 size_t PolicyScheduler::queued_tasks() const {
   return impl_->queued_tasks();
 }
--- /dev/null
+++ b/src/pool_dispatcher.cc
@@ -0,0 +1,129 @@
+#include "radishrail/pool_dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace radishrail {
+
+namespace {
+
+// Due times of jobs (deadlines, delayed tasks) are checked this often while
+// there are jobs.
+constexpr absl::Duration kBusyTick = absl::Milliseconds(10);
+// Ejections end this often at the latest.
+constexpr absl::Duration kIdleTick = absl::Milliseconds(500);
+// Slots of an upstream on probation: one large task.
+constexpr int kProbationSlots = 40;
+constexpr int kEjectionFailures = 3;
+constexpr absl::Duration kEjectionTime = absl::Seconds(3);
+
+UpstreamSettings MakeUpstreamSettings(const std::string& failure_domain) {
+  UpstreamSettings settings;
+  settings.failure_domain = failure_domain;
+  settings.probation_slots = kProbationSlots;
+  settings.ejection_failures = kEjectionFailures;
+  settings.ejection_time = kEjectionTime;
+  return settings;
+}
+
+}  // namespace
+
+void PoolDispatcher::PlacingClient::Start(TaskStart start, Callback callback) {
+  dispatcher_.client_.Start(
+      std::move(start),
+      [this, callback = std::move(callback)](TaskResult result) {
+        callback(std::move(result));
+        dispatcher_.jobs_.PlaceTasks();
+      });
+}
+
+void PoolDispatcher::PlacingClient::Stop(const std::string& job_key,
+                                         const std::string& task_id,
+                                         int attempt) {
+  dispatcher_.client_.Stop(job_key, task_id, attempt);
+}
+
+PoolDispatcher::PoolDispatcher(
+    const std::string& failure_domain,
+    const LeaseSettings& lease,
+    const Clock& clock,
+    Random& random,
+    RunnerTransport& transport,
+    std::unique_ptr<Scheduler> scheduler,
+    Metrics& metrics,
+    Timeline& timeline,
+    std::function<void(const std::string& pool)> on_fenced)
+    : clock_(clock),
+      scheduler_(std::move(scheduler)),
+      registry_(MakeUpstreamSettings(failure_domain), clock),
+      client_(clock,
+              transport,
+              lease,
+              metrics,
+              std::move(on_fenced),
+              [this] { list_changed_ = true; }),
+      placing_client_(*this),
+      jobs_(clock,
+            random,
+            *scheduler_,
+            registry_,
+            placing_client_,
+            metrics,
+            timeline) {}
+
+void PoolDispatcher::SetRunners(
+    std::vector<LeasedUpstreamClient::OwnedRunner> runners) {
+  runners_ = std::move(runners);
+  client_.SetRunners(runners_);
+  list_changed_ = true;
+}
+
+void PoolDispatcher::UpdateList() {
+  list_changed_ = false;
+  std::vector<VmInfo> usable;
+  usable.reserve(runners_.size());
+  for (const auto& it : runners_) {
+    if (client_.Usable(it.info.vm)) {
+      usable.push_back(it.info);
+    }
+  }
+  registry_.OnVmList(usable);
+  ApplyChanges();
+}
+
+void PoolDispatcher::ApplyChanges() {
+  for (const auto& it : registry_.TakeChanges()) {
+    if (registry_.Find(it.upstream).has_value()) {
+      scheduler_->SetUpstream(it);
+    } else {
+      scheduler_->RemoveUpstream(it.upstream);
+    }
+  }
+}
+
+void PoolDispatcher::Submit(JobSpec job,
+                            std::shared_ptr<const VersionedDocument> document,
+                            JobController::AnswerCallback callback) {
+  jobs_.Accept(std::move(job), std::move(document), std::move(callback));
+  jobs_.PlaceTasks();
+}
+
+bool PoolDispatcher::Cancel(std::string_view key) {
+  return jobs_.Cancel(key);
+}
+
+absl::Time PoolDispatcher::Tick() {
+  absl::Time due = client_.Tick();
+  registry_.Tick();
+  if (list_changed_) {
+    UpdateList();
+  }
+  ApplyChanges();
+  jobs_.Tick();
+  due = std::min(due, client_.Tick());
+  const absl::Time now = clock_.Monotonic();
+  return std::min(due, now + (jobs_.jobs_in_progress() > 0 ? kBusyTick
+                                                           : kIdleTick));
+}
+
+}  // namespace radishrail
--- /dev/null
+++ b/src/pool_node.cc
@@ -0,0 +1,761 @@
+#include "radishrail/pool_node.h"
+
+#include <algorithm>
+#include <exception>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/str_cat.h"
+#include "radishrail/log.h"
+#include "radishrail/pool_dispatcher.h"
+#include "radishrail/pool_ownership.h"
+#include "radishrail/pool_router.h"
+#include "radishrail/store_watcher.h"
+
+namespace radishrail {
+
+namespace {
+
+constexpr std::string_view kMemberPrefix = "members/";
+constexpr absl::Duration kStatusInterval = absl::Milliseconds(200);
+constexpr absl::Duration kIdleStatusInterval = absl::Seconds(1);
+// An entry daemon that is silent for longer has its jobs ended, since its
+// callers submit them again elsewhere.
+constexpr absl::Duration kEntrySilence = absl::Milliseconds(900);
+// A runner that answers is kept for this long after its row has vanished: the
+// rows of live runners lapse while the store is away, and return.
+constexpr absl::Duration kRowGrace = absl::Milliseconds(2500);
+constexpr absl::Duration kMemberRetry = absl::Milliseconds(500);
+constexpr absl::Duration kCancelWait = absl::Milliseconds(400);
+constexpr absl::Duration kPullInterval = absl::Milliseconds(400);
+
+std::string EncodeMember(const MemberRecord& member) {
+  msgpack::sbuffer buf;
+  msgpack::pack(buf, member);
+  return {buf.data(), buf.size()};
+}
+
+std::optional<MemberRecord> DecodeMember(const std::string& value) {
+  try {
+    const msgpack::object_handle handle =
+        msgpack::unpack(value.data(), value.size());
+    return handle.get().as<MemberRecord>();
+  } catch (const std::exception& ec) {
+    Log(LogLevel::kWarning, "the row of a member cannot be read",
+        {{"detail", ec.what()}});
+    return std::nullopt;
+  }
+}
+
+struct Peer {
+  MemberRecord record;
+  absl::Time heard = absl::InfinitePast();
+  int64_t document_version = 0;
+  absl::Time status_due = absl::InfinitePast();
+};
+
+struct KnownRunner {
+  VmInfo info;
+  std::optional<absl::Time> missing_since;
+};
+
+struct PendingCancel {
+  std::function<void(bool)> done;
+  size_t replies = 0;
+  bool known = false;
+  absl::Time deadline;
+};
+
+}  // namespace
+
+class PoolNode::Impl {
+ public:
+  Impl(const PoolNodeSettings& settings,
+       PoolNodeCodec codec,
+       uint64_t incarnation,
+       const PoolNodeEnvironment& env,
+       std::unique_ptr<Scheduler> scheduler)
+      : settings_(settings),
+        codec_(std::move(codec)),
+        incarnation_(incarnation),
+        env_(env),
+        ownership_({settings.vm, settings.failure_domain,
+                    settings.peer_address},
+                   env.clock,
+                   env.random,
+                   env.store,
+                   [this](const std::string&) { OnOwnershipChanged(); }),
+        dispatcher_(settings.failure_domain,
+                    settings.lease,
+                    env.clock,
+                    env.random,
+                    env.runners,
+                    std::move(scheduler),
+                    env.metrics,
+                    env.timeline,
+                    [this](const std::string& pool) {
+                      ownership_.OnFenced(pool);
+                    }),
+        router_(settings.vm,
+                settings.failure_domain,
+                incarnation,
+                env.clock,
+                env.transport,
+                ownership_,
+                [this](JobSpec job,
+                       std::shared_ptr<const VersionedDocument> document,
+                       AnswerCallback callback) {
+                  dispatcher_.Submit(std::move(job), std::move(document),
+                                     std::move(callback));
+                },
+                env.metrics),
+        runner_watcher_(codec_.runner_prefix,
+                        settings.watch_wait,
+                        env.store,
+                        env.executor,
+                        env.random,
+                        [this](const std::vector<Row>& rows, bool whole) {
+                          OnRunnerRows(rows, whole);
+                        }),
+        document_watcher_(codec_.documents_key,
+                          settings.watch_wait,
+                          env.store,
+                          env.executor,
+                          env.random,
+                          [this](const std::vector<Row>& rows, bool) {
+                            OnDocumentRows(rows);
+                          }),
+        spoiled_rows_(
+            env.metrics.counter("radishrail_store_rows_spoiled_total",
+                                "Rows that could not be decoded")),
+        document_version_(env.metrics.gauge(
+            "radishrail_document_version",
+            "Version of the configuration in force")) {
+    ownership_.SetPools({settings.failure_domain});
+  }
+
+  void Start() {
+    document_watcher_.Start();
+    runner_watcher_.Start();
+    JoinMembers();
+  }
+
+  absl::Time Tick() {
+    const absl::Time now = env_.clock.Monotonic();
+    absl::Time due = ownership_.Tick();
+    router_.Tick();
+    EndJobsOfSilentEntries(now);
+    ExpireRunners(now);
+    ExpireCancels(now);
+    SendStatus(now);
+    PullDocuments(now);
+    AdvanceDrain(now);
+    due = std::min(due, dispatcher_.Tick());
+    return std::min(due, now + kStatusInterval / 2);
+  }
+
+  const RoutedDocument* FindRoute(std::string_view host,
+                                  std::string_view path) const {
+    return documents_.has_value() ? documents_->Find(host, path) : nullptr;
+  }
+  bool has_documents() const { return documents_.has_value(); }
+
+  void Submit(JobSpec job,
+              const RoutedDocument& route,
+              AnswerCallback callback) {
+    router_.Submit(std::move(job), route, std::move(callback));
+  }
+
+  void Abandon(const std::string& key) {
+    router_.Abandon(key, [&] { dispatcher_.Cancel(key); });
+  }
+
+  void Cancel(const std::string& key, std::function<void(bool)> done) {
+    PendingCancel cancel;
+    cancel.done = std::move(done);
+    cancel.known = dispatcher_.Cancel(key);
+    cancel.deadline = env_.clock.Monotonic() + kCancelWait;
+    const uint64_t request = next_cancel_++;
+    std::set<std::string> owners;
+    for (const auto& it : ownership_.Pools()) {
+      const PoolClaim* owner = ownership_.Owner(it);
+      if (owner != nullptr && owner->owner != settings_.vm) {
+        owners.insert(owner->address);
+      }
+    }
+    for (const auto& it : owners) {
+      cancel.replies +=
+          env_.transport.Send(it, PoolJobCancel{request, key}) ? 1 : 0;
+    }
+    if (cancel.replies == 0 || cancel.known) {
+      cancel.done(cancel.known);
+      return;
+    }
+    cancels_[request] = std::move(cancel);
+  }
+
+  void OnPeerMessage(const MemberRecord& sender, const PeerMessage& message) {
+    Peer& peer = peers_[sender.peer_address];
+    peer.record = sender;
+    peer.heard = env_.clock.Monotonic();
+    if (const auto* status = std::get_if<PoolStatus>(&message)) {
+      OnStatus(peer, *status);
+    } else if (const auto* job = std::get_if<PoolJobRequest>(&message)) {
+      OnJob(sender.peer_address, *job);
+    } else if (const auto* reply = std::get_if<PoolJobReply>(&message)) {
+      router_.OnReply(*reply);
+    } else if (const auto* cancel = std::get_if<PoolJobCancel>(&message)) {
+      const bool known = dispatcher_.Cancel(cancel->key);
+      if (cancel->request != 0) {
+        env_.transport.Send(sender.peer_address,
+                            PoolJobCancelReply{cancel->request, known});
+      }
+    } else if (const auto* answer = std::get_if<PoolJobCancelReply>(&message)) {
+      OnCancelReply(*answer);
+    } else if (const auto* pull = std::get_if<DocumentPull>(&message)) {
+      SendDocuments(sender.peer_address, pull->after_revision);
+    } else if (const auto* push = std::get_if<DocumentPush>(&message)) {
+      for (const auto& it : push->changes) {
+        ApplyDocuments(it.body, sender.vm);
+      }
+    }
+  }
+
+  void OnPeerDisconnected(const std::string& address) {
+    ownership_.OnPeerDisconnected(address);
+    router_.OnPeerDisconnected(address);
+    EndJobsOf(address, "the connection to the entry daemon broke");
+  }
+
+  void BeginDrain() {
+    if (!drain_started_.has_value()) {
+      drain_started_ = env_.clock.Monotonic();
+      Log(LogLevel::kInfo, "graceful shutdown: not ready any more");
+    }
+  }
+  bool drained() const { return drained_; }
+  bool ready() const {
+    return documents_.has_value() && !drain_started_.has_value() && HasOwner();
+  }
+
+  MemberRecord self() const {
+    MemberRecord self;
+    self.vm = settings_.vm;
+    self.incarnation = incarnation_;
+    self.failure_domain = settings_.failure_domain;
+    self.peer_address = settings_.peer_address;
+    self.state = MemberState::kReady;
+    return self;
+  }
+
+ private:
+  bool HasOwner() const {
+    const auto pools = ownership_.Pools();
+    return std::any_of(pools.begin(), pools.end(), [this](const auto& it) {
+      return ownership_.Owner(it) != nullptr;
+    });
+  }
+
+  // --- Members ---
+
+  // Each daemon writes its row before it reads the others', so that of two
+  // daemons at least one sees the other.
+  void JoinMembers() {
+    Transaction transaction;
+    transaction.writes.push_back(
+        {absl::StrCat("members/", settings_.vm), EncodeMember(self())});
+    env_.store.Transact(
+        std::move(transaction),
+        [this](TransactionOutcome outcome, const std::string&,
+               const Error& error) {
+          if (outcome != TransactionOutcome::kCommitted) {
+            Log(LogLevel::kWarning, "the member row was not written",
+                {{"detail", error.ToString()}});
+            RetryJoin();
+            return;
+          }
+          ReadMembers();
+        });
+  }
+
+  void ReadMembers() {
+    env_.store.List(
+        std::string(kMemberPrefix),
+        [this](std::optional<std::vector<Row>> rows, const Error& error) {
+          if (!rows.has_value()) {
+            Log(LogLevel::kWarning, "the members were not read",
+                {{"detail", error.ToString()}});
+            RetryJoin();
+            return;
+          }
+          for (const auto& it : *rows) {
+            const auto member = DecodeMember(it.value);
+            if (member.has_value() && member->vm != settings_.vm) {
+              peers_[member->peer_address].record = *member;
+            }
+          }
+        });
+  }
+
+  void RetryJoin() {
+    env_.executor.PostDelayed(kMemberRetry * (0.5 + env_.random.Unit()),
+                              [this] { JoinMembers(); });
+  }
+
+  void SendStatus(absl::Time now) {
+    std::optional<PoolStatus> status;
+    const bool owner = OwnsAny();
+    for (auto& [address, peer] : peers_) {
+      if (peer.status_due > now) {
+        continue;
+      }
+      const bool soon = owner || router_.HasPendingAt(address);
+      peer.status_due = now + (soon ? kStatusInterval : kIdleStatusInterval);
+      if (!status.has_value()) {
+        status = MakeStatus();
+      }
+      env_.transport.Send(address, *status);
+    }
+    if (status.has_value()) {
+      for (const auto& it : status->claims) {
+        router_.OnClaim(it);
+      }
+    }
+  }
+
+  bool OwnsAny() const {
+    const auto pools = ownership_.Pools();
+    return std::any_of(pools.begin(), pools.end(), [this](const auto& it) {
+      return ownership_.OwnedFence(it) != 0;
+    });
+  }
+
+  PoolStatus MakeStatus() const {
+    PoolStatus status;
+    status.document_version = documents_.has_value() ? documents_->version : 0;
+    const SchedulerLoad load = dispatcher_.load();
+    for (const auto& it : ownership_.Pools()) {
+      const uint64_t fence = ownership_.OwnedFence(it);
+      if (fence == 0) {
+        continue;
+      }
+      PoolClaim claim;
+      claim.pool = it;
+      claim.fence = fence;
+      claim.owner = settings_.vm;
+      claim.address = settings_.peer_address;
+      claim.accepting = !handing_over_;
+      claim.slots = static_cast<uint32_t>(std::max(load.slots, 0));
+      claim.busy_slots = static_cast<uint32_t>(std::max(load.busy_slots, 0));
+      claim.backlog_ms =
+          static_cast<uint32_t>(absl::ToInt64Milliseconds(load.backlog));
+      status.claims.push_back(std::move(claim));
+    }
+    return status;
+  }
+
+  void OnStatus(Peer& peer, const PoolStatus& status) {
+    peer.document_version = status.document_version;
+    for (const auto& it : status.claims) {
+      ownership_.OnClaim(it);
+      router_.OnClaim(it);
+    }
+  }
+
+  // --- Jobs for this daemon's pools ---
+
+  struct ForwardedJob {
+    std::string address;
+    uint64_t request = 0;
+  };
+
+  void OnJob(const std::string& address, const PoolJobRequest& request) {
+    JobSpec job;
+    job.key = request.key;
+    job.environment = request.environment;
+    job.upstream_class = request.upstream_class;
+    job.payload = request.payload;
+    job.deadline = absl::Milliseconds(request.deadline_ms);
+    job.promised = absl::Milliseconds(request.promised_ms);
+    job.best_effort = true;
+    for (size_t i = 0; i < request.steps.size(); ++i) {
+      const PoolStep& step = request.steps[i];
+      TaskSpec task;
+      task.kind = request.environment;
+      task.declared_run = absl::Milliseconds(step.declared_ms);
+      task.declared_slots = static_cast<int>(step.slots);
+      task.max_failures = static_cast<int>(request.max_failures);
+      task.restartable = true;
+      for (uint32_t n = 0;
+           n < step.count && job.tasks.size() < kMaxTasksPerJob; ++n) {
+        task.id = absl::StrCat("0.", i, ".", n);
+        job.tasks.push_back(task);
+      }
+    }
+    const uint64_t number = next_forwarded_++;
+    forwarded_[number] = {address, request.request};
+    keys_of_entry_[address][request.key] = number;
+    if (ownership_.OwnedFence(request.pool) == 0 || handing_over_) {
+      JobAnswer answer;
+      answer.status = JobStatus::kNotRun;
+      answer.error = {ErrorCode::kNoOwner, Step::kOwnership, "",
+                      "this daemon does not own the pool"};
+      answer.retry_after = absl::Milliseconds(200);
+      Reply(number, request.key, answer);
+      return;
+    }
+    auto document = std::make_shared<VersionedDocument>(DocumentOf(request));
+    dispatcher_.Submit(std::move(job), std::move(document),
+                       [this, number, key = request.key](
+                           const JobAnswer& answer) {
+                         Reply(number, key, answer);
+                       });
+  }
+
+  // The entry daemon decided under its version of the configuration; the owner
+  // needs only the policies of its job table.
+  VersionedDocument DocumentOf(const PoolJobRequest& request) const {
+    VersionedDocument document;
+    document.version = request.document_version;
+    if (documents_.has_value()) {
+      for (const auto& it : documents_->routes) {
+        if (it.document->document.environment == request.environment) {
+          document.document = it.document->document;
+        }
+      }
+    }
+    document.document.environment = request.environment;
+    document.document.upstream_classes = {request.upstream_class};
+    return document;
+  }
+
+  void Reply(uint64_t number,
+             const std::string& key,
+             const JobAnswer& answer) {
+    const auto it = forwarded_.find(number);
+    if (it == forwarded_.end()) {
+      return;
+    }
+    const ForwardedJob job = std::move(it->second);
+    forwarded_.erase(it);
+    const auto keys = keys_of_entry_.find(job.address);
+    if (keys != keys_of_entry_.end()) {
+      keys->second.erase(key);
+    }
+    PoolJobReply reply;
+    reply.request = job.request;
+    reply.key = key;
+    reply.status = static_cast<uint32_t>(answer.status);
+    reply.error = static_cast<uint32_t>(answer.error.code);
+    reply.detail = answer.error.detail;
+    reply.retry_after_ms = static_cast<uint32_t>(
+        absl::ToInt64Milliseconds(answer.retry_after));
+    env_.transport.Send(job.address, reply);
+  }
+
+  void EndJobsOf(const std::string& address, const char* reason) {
+    const auto it = keys_of_entry_.find(address);
+    if (it == keys_of_entry_.end() || it->second.empty()) {
+      return;
+    }
+    const std::map<std::string, uint64_t> keys = std::move(it->second);
+    keys_of_entry_.erase(it);
+    Log(LogLevel::kInfo, "jobs of an entry daemon end",
+        {{"peer", address},
+         {"jobs", absl::StrCat(keys.size())},
+         {"reason", reason}});
+    for (const auto& [key, number] : keys) {
+      forwarded_.erase(number);
+      dispatcher_.Cancel(key);
+    }
+  }
+
+  void EndJobsOfSilentEntries(absl::Time now) {
+    std::vector<std::string> silent;
+    for (const auto& [address, keys] : keys_of_entry_) {
+      if (!keys.empty() && now - peers_[address].heard > kEntrySilence) {
+        silent.push_back(address);
+      }
+    }
+    for (const auto& it : silent) {
+      EndJobsOf(it, "the entry daemon is silent");
+    }
+  }
+
+  void OnCancelReply(const PoolJobCancelReply& reply) {
+    const auto it = cancels_.find(reply.request);
+    if (it == cancels_.end()) {
+      return;
+    }
+    it->second.known = it->second.known || reply.known;
+    if (it->second.known || --it->second.replies == 0) {
+      const PendingCancel cancel = std::move(it->second);
+      cancels_.erase(it);
+      cancel.done(cancel.known);
+    }
+  }
+
+  void ExpireCancels(absl::Time now) {
+    while (!cancels_.empty() && cancels_.begin()->second.deadline <= now) {
+      const PendingCancel cancel = std::move(cancels_.begin()->second);
+      cancels_.erase(cancels_.begin());
+      cancel.done(cancel.known);
+    }
+  }
+
+  // --- Runners ---
+
+  void OnRunnerRows(const std::vector<Row>& rows, bool whole) {
+    const absl::Time now = env_.clock.Monotonic();
+    std::set<std::string> present;
+    for (const auto& it : rows) {
+      present.insert(it.key);
+      if (it.version == 0) {
+        MarkMissing(it.key, now);
+        continue;
+      }
+      Error error;
+      auto info = codec_.parse_runner(it, &error);
+      if (!info.has_value()) {
+        spoiled_rows_.Add();
+        LogFailure("the row of a runner is ignored", error);
+        continue;
+      }
+      KnownRunner& runner = runners_[it.key];
+      runner.info = *std::move(info);
+      runner.missing_since.reset();
+    }
+    if (whole) {
+      for (const auto& [key, runner] : runners_) {
+        if (!present.contains(key)) {
+          MarkMissing(key, now);
+        }
+      }
+    }
+    ApplyRunners();
+  }
+
+  void MarkMissing(const std::string& key, absl::Time now) {
+    const auto it = runners_.find(key);
+    if (it != runners_.end() && !it->second.missing_since.has_value()) {
+      it->second.missing_since = now;
+    }
+  }
+
+  // A runner that left has no row and does not answer; it goes at once.
+  void ExpireRunners(absl::Time now) {
+    const size_t n = std::erase_if(runners_, [&](const auto& it) {
+      const KnownRunner& runner = it.second;
+      return runner.missing_since.has_value() &&
+             (!dispatcher_.Usable(runner.info.vm) ||
+              now - *runner.missing_since > kRowGrace);
+    });
+    if (n > 0) {
+      ApplyRunners();
+    }
+  }
+
+  void ApplyRunners() {
+    std::set<std::string> pools = {settings_.failure_domain};
+    std::vector<LeasedUpstreamClient::OwnedRunner> owned;
+    for (const auto& [key, runner] : runners_) {
+      pools.insert(runner.info.failure_domain);
+      const uint64_t fence = ownership_.OwnedFence(runner.info.failure_domain);
+      if (fence != 0) {
+        owned.push_back({runner.info, fence});
+      }
+    }
+    ownership_.SetPools({pools.begin(), pools.end()});
+    dispatcher_.SetRunners(std::move(owned));
+  }
+
+  void OnOwnershipChanged() {
+    ApplyRunners();
+    for (auto& [address, peer] : peers_) {
+      peer.status_due = absl::InfinitePast();
+    }
+  }
+
+  // --- Configuration ---
+
+  void OnDocumentRows(const std::vector<Row>& rows) {
+    for (const auto& it : rows) {
+      if (it.key == codec_.documents_key && it.version != 0) {
+        ApplyDocuments(it.value, "store");
+      }
+    }
+  }
+
+  void ApplyDocuments(const std::string& body, const std::string& source) {
+    Error error;
+    auto documents = codec_.parse_documents(body, &error);
+    if (!documents.has_value()) {
+      LogFailure("the configuration cannot be read", error);
+      return;
+    }
+    // Versions never go back within a life of the process.
+    if (documents_.has_value() && documents->version <= documents_->version) {
+      return;
+    }
+    Log(LogLevel::kInfo, "configuration in force",
+        {{"version", absl::StrCat(documents->version)},
+         {"routes", absl::StrCat(documents->routes.size())},
+         {"source", source}});
+    document_version_.Set(documents->version);
+    documents_ = *std::move(documents);
+  }
+
+  void PullDocuments(absl::Time now) {
+    const int64_t version = documents_.has_value() ? documents_->version : 0;
+    if (next_pull_ > now) {
+      return;
+    }
+    next_pull_ = now + kPullInterval;
+    for (const auto& [address, peer] : peers_) {
+      if (peer.document_version > version) {
+        env_.transport.Send(address, DocumentPull{version});
+        return;
+      }
+    }
+  }
+
+  void SendDocuments(const std::string& address, int64_t after) {
+    if (!documents_.has_value() || documents_->version <= after) {
+      return;
+    }
+    DocumentPush push;
+    push.revision = documents_->version;
+    push.after_revision = after;
+    push.reply = true;
+    DocumentChange change;
+    change.revision = documents_->version;
+    change.version = documents_->version;
+    change.body = documents_->body;
+    push.changes.push_back(std::move(change));
+    env_.transport.Send(address, push);
+  }
+
+  // --- Shutdown ---
+
+  // Not ready, but serving until the balancer has noticed; then the pools take
+  // no new jobs, and are released when their jobs have ended.
+  void AdvanceDrain(absl::Time now) {
+    if (!drain_started_.has_value() || drained_) {
+      return;
+    }
+    const absl::Duration passed = now - *drain_started_;
+    if (passed < settings_.drain_balancer_delay) {
+      return;
+    }
+    if (!handing_over_) {
+      handing_over_ = true;
+      OnOwnershipChanged();
+    }
+    const bool timed_out =
+        passed >= settings_.drain_balancer_delay + settings_.drain_timeout;
+    if ((dispatcher_.jobs_in_progress() == 0 && router_.pending() == 0) ||
+        timed_out) {
+      ReleasePools();
+      drained_ = true;
+    }
+  }
+
+  void ReleasePools() {
+    PoolStatus status = MakeStatus();
+    for (auto& it : status.claims) {
+      it.owner.clear();
+      it.address.clear();
+      it.accepting = false;
+    }
+    ownership_.Release();
+    for (const auto& [address, peer] : peers_) {
+      env_.transport.Send(address, status);
+    }
+  }
+
+  const PoolNodeSettings settings_;
+  const PoolNodeCodec codec_;
+  const uint64_t incarnation_;
+  const PoolNodeEnvironment env_;
+  PoolOwnership ownership_;
+  PoolDispatcher dispatcher_;
+  PoolRouter router_;
+  StoreWatcher runner_watcher_;
+  StoreWatcher document_watcher_;
+  Counter& spoiled_rows_;
+  Gauge& document_version_;
+  std::map<std::string, Peer> peers_;  // by address
+  std::map<std::string, KnownRunner> runners_;  // by row key
+  std::optional<RoutedDocuments> documents_;
+  absl::flat_hash_map<uint64_t, ForwardedJob> forwarded_;
+  std::map<std::string, std::map<std::string, uint64_t>> keys_of_entry_;
+  uint64_t next_forwarded_ = 1;
+  std::map<uint64_t, PendingCancel> cancels_;
+  uint64_t next_cancel_ = 1;
+  absl::Time next_pull_ = absl::InfinitePast();
+  std::optional<absl::Time> drain_started_;
+  bool handing_over_ = false;
+  bool drained_ = false;
+};
+
+PoolNode::PoolNode(const PoolNodeSettings& settings,
+                   PoolNodeCodec codec,
+                   uint64_t incarnation,
+                   const PoolNodeEnvironment& environment,
+                   std::unique_ptr<Scheduler> scheduler)
+    : impl_(std::make_unique<Impl>(settings,
+                                   std::move(codec),
+                                   incarnation,
+                                   environment,
+                                   std::move(scheduler))) {}
+PoolNode::~PoolNode() = default;
+
+void PoolNode::Start() {
+  impl_->Start();
+}
+absl::Time PoolNode::Tick() {
+  return impl_->Tick();
+}
+const RoutedDocument* PoolNode::FindRoute(std::string_view host,
+                                          std::string_view path) const {
+  return impl_->FindRoute(host, path);
+}
+bool PoolNode::has_documents() const {
+  return impl_->has_documents();
+}
+void PoolNode::Submit(JobSpec job,
+                      const RoutedDocument& route,
+                      AnswerCallback callback) {
+  impl_->Submit(std::move(job), route, std::move(callback));
+}
+void PoolNode::Abandon(const std::string& key) {
+  impl_->Abandon(key);
+}
+void PoolNode::Cancel(const std::string& key,
+                      std::function<void(bool known)> done) {
+  impl_->Cancel(key, std::move(done));
+}
+void PoolNode::OnPeerMessage(const MemberRecord& sender,
+                             const PeerMessage& message) {
+  impl_->OnPeerMessage(sender, message);
+}
+void PoolNode::OnPeerDisconnected(const std::string& peer_address) {
+  impl_->OnPeerDisconnected(peer_address);
+}
+void PoolNode::BeginDrain() {
+  impl_->BeginDrain();
+}
+bool PoolNode::drained() const {
+  return impl_->drained();
+}
+bool PoolNode::ready() const {
+  return impl_->ready();
+}
+MemberRecord PoolNode::self() const {
+  return impl_->self();
+}
+
+}  // namespace radishrail
--- /dev/null
+++ b/src/pool_ownership.cc
@@ -0,0 +1,264 @@
+#include "radishrail/pool_ownership.h"
+
+#include <algorithm>
+#include <exception>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "radishrail/log.h"
+
+namespace radishrail {
+
+namespace {
+
+// Spreads the daemons that see the same owner vanish.
+constexpr absl::Duration kMaxJitter = absl::Milliseconds(120);
+constexpr absl::Duration kRetry = absl::Milliseconds(300);
+// An owner whose connection broke is given this long to reconnect.
+constexpr absl::Duration kDisconnectGrace = absl::Milliseconds(250);
+
+std::string RowKey(const std::string& pool) {
+  return absl::StrCat("pools/", pool);
+}
+
+std::string EncodeClaim(const PoolClaim& claim) {
+  msgpack::sbuffer buf;
+  msgpack::pack(buf, claim);
+  return {buf.data(), buf.size()};
+}
+
+std::optional<PoolClaim> DecodeClaim(const std::string& value) {
+  try {
+    const msgpack::object_handle handle =
+        msgpack::unpack(value.data(), value.size());
+    return handle.get().as<PoolClaim>();
+  } catch (const std::exception& ec) {
+    Log(LogLevel::kWarning, "the row of a pool cannot be read",
+        {{"detail", ec.what()}});
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+PoolOwnership::PoolOwnership(const PoolOwnershipSettings& settings,
+                             const Clock& clock,
+                             Random& random,
+                             Store& store,
+                             ChangeCallback on_change)
+    : settings_(settings),
+      clock_(clock),
+      random_(random),
+      store_(store),
+      on_change_(std::move(on_change)) {}
+
+void PoolOwnership::SetPools(const std::vector<std::string>& pools) {
+  for (const auto& it : pools) {
+    const auto [pool, added] = pools_.try_emplace(it);
+    if (added) {
+      pool->second.known_since = clock_.Monotonic();
+    }
+  }
+}
+
+bool PoolOwnership::Silent(const Pool& pool) const {
+  return pool.claim.owner != settings_.vm &&
+         clock_.Monotonic() - pool.heard > settings_.silence;
+}
+
+void PoolOwnership::OnClaim(const PoolClaim& claim) {
+  const auto it = pools_.find(claim.pool);
+  if (it == pools_.end() || claim.owner == settings_.vm) {
+    return;
+  }
+  if (claim.fence >= it->second.claim.fence) {
+    Adopt(claim.pool, claim, clock_.Monotonic());
+  }
+}
+
+void PoolOwnership::OnPeerDisconnected(const std::string& address) {
+  for (auto& [name, pool] : pools_) {
+    if (pool.claim.address == address && pool.claim.owner != settings_.vm) {
+      pool.heard = std::min(pool.heard, clock_.Monotonic() - settings_.silence +
+                                            kDisconnectGrace);
+    }
+  }
+}
+
+void PoolOwnership::OnFenced(const std::string& name) {
+  const auto it = pools_.find(name);
+  if (it == pools_.end() || OwnedFence(name) == 0) {
+    return;
+  }
+  Log(LogLevel::kWarning, "pool lost: a runner obeys a higher fence",
+      {{"pool", name}, {"fence", absl::StrCat(it->second.claim.fence)}});
+  it->second.claim.owner.clear();
+  it->second.claim.address.clear();
+  it->second.heard = clock_.Monotonic();
+  on_change_(name);
+}
+
+void PoolOwnership::Release() {
+  released_ = true;
+  for (auto& [name, pool] : pools_) {
+    if (OwnedFence(name) == 0) {
+      continue;
+    }
+    Log(LogLevel::kInfo, "pool released", {{"pool", name}});
+    pool.claim.owner.clear();
+    on_change_(name);
+  }
+}
+
+uint64_t PoolOwnership::OwnedFence(const std::string& pool) const {
+  const auto it = pools_.find(pool);
+  return it != pools_.end() && it->second.claim.owner == settings_.vm
+             ? it->second.claim.fence
+             : 0;
+}
+
+const PoolClaim* PoolOwnership::Owner(const std::string& pool) const {
+  const auto it = pools_.find(pool);
+  return it == pools_.end() || it->second.claim.owner.empty() ||
+                 Silent(it->second)
+             ? nullptr
+             : &it->second.claim;
+}
+
+std::vector<std::string> PoolOwnership::Pools() const {
+  std::vector<std::string> names;
+  names.reserve(pools_.size());
+  for (const auto& [name, pool] : pools_) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+absl::Time PoolOwnership::ClaimDue(const std::string& name,
+                                   const Pool& pool) const {
+  const bool home = name == settings_.failure_domain;
+  const absl::Time silent_at =
+      std::max(pool.heard, pool.known_since) +
+      (pool.heard == absl::InfinitePast() && home ? absl::ZeroDuration()
+                                                  : settings_.silence);
+  return std::max(pool.next_try,
+                  silent_at + (home ? absl::ZeroDuration()
+                                    : settings_.foreign_delay));
+}
+
+absl::Time PoolOwnership::Tick() {
+  absl::Time due = absl::InfiniteFuture();
+  if (released_) {
+    return due;
+  }
+  const absl::Time now = clock_.Monotonic();
+  for (auto& [name, pool] : pools_) {
+    if (pool.pending || pool.claim.owner == settings_.vm) {
+      continue;
+    }
+    const absl::Time claim_due = ClaimDue(name, pool);
+    if (claim_due <= now) {
+      TryClaim(name);
+    } else {
+      due = std::min(due, claim_due);
+    }
+  }
+  return due;
+}
+
+void PoolOwnership::TryClaim(const std::string& name) {
+  pools_[name].pending = true;
+  store_.Read(RowKey(name), [this, name](std::optional<Row> row,
+                                         const Error& error) {
+    Pool& pool = pools_[name];
+    if (!row.has_value()) {
+      Log(LogLevel::kWarning, "the row of a pool was not read",
+          {{"pool", name}, {"detail", error.ToString()}});
+      Retry(pool);
+      return;
+    }
+    OnRow(name, *row);
+  });
+}
+
+void PoolOwnership::Retry(Pool& pool) {
+  pool.pending = false;
+  pool.next_try = clock_.Monotonic() + kRetry + random_.Unit() * kMaxJitter;
+}
+
+void PoolOwnership::OnRow(const std::string& name, const Row& row) {
+  Pool& pool = pools_[name];
+  uint64_t fence = pool.claim.fence;
+  if (row.version != 0) {
+    const auto claim = DecodeClaim(row.value);
+    if (claim.has_value() && claim->fence > pool.claim.fence) {
+      // Somebody claimed the pool; the owner gets time for a sign of life. A
+      // row of this vm is from a former life or from a write whose answer was
+      // lost; it is replaced.
+      if (claim->owner != settings_.vm) {
+        pool.pending = false;
+        Adopt(name, *claim, clock_.Monotonic());
+        return;
+      }
+    }
+    fence = claim.has_value() ? std::max(fence, claim->fence) : fence;
+  }
+  if (!Silent(pool) && !pool.claim.owner.empty() &&
+      pool.claim.owner != settings_.vm) {
+    pool.pending = false;
+    return;
+  }
+  Write(name, row, fence + 1);
+}
+
+void PoolOwnership::Write(const std::string& name,
+                          const Row& row,
+                          uint64_t fence) {
+  PoolClaim claim;
+  claim.pool = name;
+  claim.fence = fence;
+  claim.owner = settings_.vm;
+  claim.address = settings_.address;
+  Transaction transaction;
+  transaction.checks.push_back({RowKey(name), row.version});
+  transaction.writes.push_back({RowKey(name), EncodeClaim(claim)});
+  store_.Transact(
+      std::move(transaction),
+      [this, name, claim](TransactionOutcome outcome, const std::string&,
+                          const Error& error) {
+        Pool& pool = pools_[name];
+        pool.pending = false;
+        if (outcome != TransactionOutcome::kCommitted || released_ ||
+            pool.claim.fence >= claim.fence) {
+          // The row is read again; it shows whether a write without an answer
+          // was carried out.
+          Log(LogLevel::kInfo, "pool not claimed",
+              {{"pool", name},
+               {"fence", absl::StrCat(claim.fence)},
+               {"detail", error.ToString()}});
+          Retry(pool);
+          return;
+        }
+        Adopt(name, claim, clock_.Monotonic());
+      });
+}
+
+void PoolOwnership::Adopt(const std::string& name,
+                          const PoolClaim& claim,
+                          absl::Time heard) {
+  Pool& pool = pools_[name];
+  const bool changed = claim.fence != pool.claim.fence ||
+                       claim.owner != pool.claim.owner;
+  pool.claim = claim;
+  // A released pool may be claimed at once.
+  pool.heard = claim.owner.empty() ? heard - settings_.silence : heard;
+  if (changed) {
+    Log(LogLevel::kInfo, "pool owner",
+        {{"pool", name},
+         {"owner", claim.owner},
+         {"fence", absl::StrCat(claim.fence)}});
+    on_change_(name);
+  }
+}
+
+}  // namespace radishrail
--- /dev/null
+++ b/src/pool_router.cc
@@ -0,0 +1,252 @@
+#include "radishrail/pool_router.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+#include <vector>
+
+#include "radishrail/job_answers.h"
+
+namespace radishrail {
+
+namespace {
+
+// A job waits about this long in a pool that has no room for any of it.
+constexpr absl::Duration kFullPoolWait = absl::Milliseconds(120);
+// A pool of another failure domain must promise this much less waiting.
+constexpr absl::Duration kForeignPenalty = absl::Milliseconds(25);
+// Time after a job's deadline in which its owner may still answer.
+constexpr absl::Duration kAnswerSlack = absl::Milliseconds(200);
+constexpr absl::Duration kNoOwnerRetry = absl::Milliseconds(500);
+
+int SlotsOf(const JobSpec& job) {
+  int slots = 0;
+  for (const auto& it : job.tasks) {
+    slots += it.declared_slots;
+  }
+  return slots;
+}
+
+// Consecutive equal tasks travel as one step.
+std::vector<PoolStep> EncodeTasks(const JobSpec& job) {
+  std::vector<PoolStep> steps;
+  for (const auto& it : job.tasks) {
+    const auto declared_ms =
+        static_cast<uint32_t>(absl::ToInt64Milliseconds(it.declared_run));
+    const auto slots = static_cast<uint32_t>(it.declared_slots);
+    if (steps.empty() || steps.back().slots != slots ||
+        steps.back().declared_ms != declared_ms) {
+      steps.push_back({0, slots, declared_ms});
+    }
+    ++steps.back().count;
+  }
+  return steps;
+}
+
+}  // namespace
+
+PoolRouter::PoolRouter(std::string vm,
+                       std::string failure_domain,
+                       uint64_t first_request,
+                       const Clock& clock,
+                       PeerTransport& transport,
+                       const PoolOwnership& ownership,
+                       LocalSubmit local,
+                       Metrics& metrics)
+    : vm_(std::move(vm)),
+      failure_domain_(std::move(failure_domain)),
+      clock_(clock),
+      transport_(transport),
+      ownership_(ownership),
+      local_(std::move(local)),
+      forwarded_(metrics.counter("radishrail_pool_jobs_forwarded_total",
+                                 "Jobs handed to the owner of a pool")),
+      unknown_(metrics.counter("radishrail_pool_jobs_unknown_total",
+                               "Jobs whose owner fell silent")),
+      no_owner_(metrics.counter("radishrail_pool_jobs_without_owner_total",
+                                "Jobs refused since no pool had an owner")),
+      next_request_(first_request) {}
+
+void PoolRouter::OnClaim(const PoolClaim& claim) {
+  loads_[claim.pool] = {static_cast<int>(claim.slots),
+                        static_cast<int>(claim.busy_slots),
+                        absl::Milliseconds(claim.backlog_ms)};
+}
+
+std::optional<std::string> PoolRouter::Choose(int slots) const {
+  std::optional<std::string> best;
+  absl::Duration best_wait = absl::InfiniteDuration();
+  for (const auto& name : ownership_.Pools()) {
+    const PoolClaim* owner = ownership_.Owner(name);
+    const auto load = loads_.find(name);
+    if (owner == nullptr || load == loads_.end() || !owner->accepting ||
+        load->second.slots == 0) {
+      continue;
+    }
+    const PoolLoad& it = load->second;
+    const int lacking = std::clamp(slots - (it.slots - it.busy), 0, slots);
+    absl::Duration wait =
+        it.backlog + kFullPoolWait * lacking / std::max(it.slots, 1);
+    if (name != failure_domain_) {
+      wait += kForeignPenalty;
+    }
+    if (wait < best_wait) {
+      best_wait = wait;
+      best = name;
+    }
+  }
+  return best;
+}
+
+void PoolRouter::Submit(JobSpec job,
+                        const RoutedDocument& route,
+                        AnswerCallback callback) {
+  absl::Duration longest = absl::ZeroDuration();
+  for (const auto& it : job.tasks) {
+    longest = std::max(longest, it.declared_run);
+  }
+  job.environment = route.document->document.environment;
+  job.upstream_class = route.upstream_class;
+  job.promised = route.base + route.stretch * longest;
+  for (auto& it : job.tasks) {
+    it.kind = job.environment;
+    it.max_failures = route.max_failures;
+  }
+  const int slots = SlotsOf(job);
+  const auto pool = Choose(slots);
+  if (!pool.has_value()) {
+    no_owner_.Add();
+    callback(NotRunAnswer(job,
+                          {ErrorCode::kNoOwner, Step::kOwnership, "",
+                           "no pool has a living owner"},
+                          kNoOwnerRetry, TaskErrors::kOmitted));
+    return;
+  }
+  loads_[*pool].busy += slots;
+  if (ownership_.OwnedFence(*pool) != 0) {
+    local_(std::move(job), route.document, std::move(callback));
+    return;
+  }
+  Forward(*ownership_.Owner(*pool), std::move(job), route,
+          std::move(callback));
+}
+
+void PoolRouter::Forward(const PoolClaim& owner,
+                         JobSpec job,
+                         const RoutedDocument& route,
+                         AnswerCallback callback) {
+  PoolJobRequest request;
+  request.request = next_request_++;
+  request.pool = owner.pool;
+  request.key = job.key;
+  request.environment = job.environment;
+  request.upstream_class = job.upstream_class;
+  request.payload = std::move(job.payload);
+  request.steps = EncodeTasks(job);
+  request.deadline_ms =
+      static_cast<uint32_t>(absl::ToInt64Milliseconds(job.deadline));
+  request.promised_ms =
+      static_cast<uint32_t>(absl::ToInt64Milliseconds(job.promised));
+  request.max_failures = static_cast<uint32_t>(route.max_failures);
+  request.document_version = route.document->version;
+  forwarded_.Add();
+  if (!transport_.Send(owner.address, request)) {
+    callback(NotRunAnswer(job,
+                          {ErrorCode::kUnreachable, Step::kForward,
+                           owner.address, "the owner cannot be reached"},
+                          kNoOwnerRetry, TaskErrors::kOmitted));
+    return;
+  }
+  pending_[request.request] = {job.key,
+                               owner.pool,
+                               owner.address,
+                               owner.fence,
+                               clock_.Monotonic() + job.deadline + kAnswerSlack,
+                               std::move(callback)};
+}
+
+void PoolRouter::OnReply(const PoolJobReply& reply) {
+  const auto it = pending_.find(reply.request);
+  if (it == pending_.end() || it->second.key != reply.key) {
+    return;
+  }
+  const AnswerCallback callback = std::move(it->second.callback);
+  JobAnswer answer;
+  answer.key = reply.key;
+  answer.status = static_cast<JobStatus>(reply.status);
+  answer.error = {static_cast<ErrorCode>(reply.error), Step::kForward,
+                  it->second.address, reply.detail};
+  answer.retry_after = absl::Milliseconds(reply.retry_after_ms);
+  pending_.erase(it);
+  callback(answer);
+}
+
+void PoolRouter::Fail(uint64_t request, ErrorCode code, const char* reason) {
+  const auto it = pending_.find(request);
+  if (it == pending_.end()) {
+    return;
+  }
+  const Pending pending = std::move(it->second);
+  pending_.erase(it);
+  unknown_.Add();
+  // The owner may live and reach its upstreams; it must not go on with a job
+  // that the caller may submit again.
+  transport_.Send(pending.address, PoolJobCancel{0, pending.key});
+  JobAnswer answer;
+  answer.key = pending.key;
+  answer.status = JobStatus::kFailed;
+  answer.error = {code, Step::kForward, pending.address, reason};
+  pending.callback(answer);
+}
+
+void PoolRouter::Abandon(std::string_view key,
+                         const std::function<void()>& end_local) {
+  for (auto it = pending_.begin(); it != pending_.end(); ++it) {
+    if (it->second.key == key) {
+      transport_.Send(it->second.address, PoolJobCancel{0, it->second.key});
+      pending_.erase(it);
+      return;
+    }
+  }
+  end_local();
+}
+
+void PoolRouter::OnPeerDisconnected(const std::string& peer_address) {
+  std::vector<uint64_t> lost;
+  for (const auto& [request, pending] : pending_) {
+    if (pending.address == peer_address) {
+      lost.push_back(request);
+    }
+  }
+  for (const uint64_t it : lost) {
+    Fail(it, ErrorCode::kConnectionBroken, "the connection to the owner broke");
+  }
+}
+
+void PoolRouter::Tick() {
+  const absl::Time now = clock_.Monotonic();
+  std::vector<uint64_t> silent;
+  std::vector<uint64_t> late;
+  for (const auto& [request, pending] : pending_) {
+    const PoolClaim* owner = ownership_.Owner(pending.pool);
+    if (owner == nullptr || owner->fence != pending.fence) {
+      silent.push_back(request);
+    } else if (pending.deadline <= now) {
+      late.push_back(request);
+    }
+  }
+  for (const uint64_t it : silent) {
+    Fail(it, ErrorCode::kOutcomeUnknown, "the owner of the pool is silent");
+  }
+  for (const uint64_t it : late) {
+    Fail(it, ErrorCode::kDeadlineExceeded, "the owner did not answer in time");
+  }
+}
+
+bool PoolRouter::HasPendingAt(const std::string& address) const {
+  return std::any_of(pending_.begin(), pending_.end(), [&](const auto& it) {
+    return it.second.address == address;
+  });
+}
+
+}  // namespace radishrail
--- /dev/null
+++ b/src/store_watcher.cc
@@ -0,0 +1,107 @@
+#include "radishrail/store_watcher.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "radishrail/log.h"
+
+namespace radishrail {
+
+namespace {
+
+constexpr absl::Duration kMinBackoff = absl::Milliseconds(100);
+constexpr absl::Duration kMaxBackoff = absl::Milliseconds(800);
+constexpr int kMaxDoublings = 3;
+
+}  // namespace
+
+StoreWatcher::StoreWatcher(std::string prefix,
+                           absl::Duration wait,
+                           Store& store,
+                           Executor& executor,
+                           Random& random,
+                           RowsCallback on_rows)
+    : prefix_(std::move(prefix)),
+      wait_(wait),
+      store_(store),
+      executor_(executor),
+      random_(random),
+      on_rows_(std::move(on_rows)) {}
+
+void StoreWatcher::Start() {
+  TakeSnapshot();
+}
+
+void StoreWatcher::TakeSnapshot() {
+  store_.Snapshot(prefix_, [this, alive = std::weak_ptr<const bool>(alive_)](
+                               std::optional<Store::Changes> changes,
+                               const Error& error) {
+    if (alive.expired() || stopped_) {
+      return;
+    }
+    if (!changes.has_value()) {
+      OnFailure(error);
+      return;
+    }
+    OnAnswer();
+    has_snapshot_ = true;
+    version_ = changes->next;
+    on_rows_(changes->rows, true);
+    Wait();
+  });
+}
+
+void StoreWatcher::Wait() {
+  store_.Watch(prefix_, version_, wait_,
+               [this, alive = std::weak_ptr<const bool>(alive_)](
+                   std::optional<Store::Changes> changes, const Error& error) {
+                 if (alive.expired() || stopped_) {
+                   return;
+                 }
+                 if (!changes.has_value()) {
+                   has_snapshot_ = has_snapshot_ &&
+                                   error.code != ErrorCode::kNotFound;
+                   OnFailure(error);
+                   return;
+                 }
+                 OnAnswer();
+                 version_ = std::max(version_, changes->next);
+                 if (!changes->rows.empty()) {
+                   on_rows_(changes->rows, false);
+                 }
+                 Wait();
+               });
+}
+
+void StoreWatcher::OnAnswer() {
+  failures_ = 0;
+  if (!in_touch_) {
+    in_touch_ = true;
+    Log(LogLevel::kInfo, "store in touch", {{"prefix", prefix_}});
+  }
+}
+
+void StoreWatcher::OnFailure(const Error& error) {
+  if (in_touch_) {
+    in_touch_ = false;
+    Log(LogLevel::kWarning, "store out of touch",
+        {{"prefix", prefix_}, {"detail", error.ToString()}});
+  }
+  const absl::Duration backoff =
+      std::min(kMaxBackoff, kMinBackoff * (1 << std::min(failures_++,
+                                                         kMaxDoublings)));
+  executor_.PostDelayed(
+      backoff * (0.5 + random_.Unit()),
+      [this, alive = std::weak_ptr<const bool>(alive_)] {
+        if (alive.expired() || stopped_) {
+          return;
+        }
+        if (has_snapshot_) {
+          Wait();
+        } else {
+          TakeSnapshot();
+        }
+      });
+}
+
+}  // namespace radishrail
--- a/src/upstream_registry.cc
+++ b/src/upstream_registry.cc
@@ -52,6 +52,7 @@
       return Verdict::kSuccess;
     case TaskOutcome::kFailed:
       return Verdict::kFailure;
+    case TaskOutcome::kEnded:
     case TaskOutcome::kNotStarted:
       // A busy or leaving upstream, or a passed start-by time, is no fault.
       return result.error.code == ErrorCode::kUnreachable ||
@@ -101,9 +102,11 @@
     return present() && trust != UpstreamState::kEjected;
   }
   int usable_slots() const {
-    return trust == UpstreamState::kProbation ? std::min(1, info.slots)
-                                              : info.slots;
+    return trust == UpstreamState::kProbation
+               ? std::min(probation_slots, info.slots)
+               : info.slots;
   }
+  int probation_slots = 1;
 };
 
 absl::string_view Absl(std::string_view text) {
@@ -273,6 +276,7 @@
     entry->leaving = info.state == VmState::kLeaving;
     entry->list_round = list_round_;
     entry->healthy_since = clock_.Monotonic();
+    entry->probation_slots = settings_.probation_slots;
     by_vm_[info.vm] = entry->id;
     Count(*entry, 1);
     MarkDirty(*entry);
@@ -291,7 +295,8 @@
     }
     const bool readmitted =
         entry->leaving && !entry->listed && info.state == VmState::kLive;
-    if (entry->info.address != info.address || readmitted) {
+    if (entry->info.address != info.address || readmitted ||
+        entry->info.incarnation != info.incarnation) {
       Replace(*entry);
       Add(info);
       return;
