Pace the watch of the runners' rows

Cause: each heartbeat of a runner changes its row, so that a watch that is renewed at once makes 288 calls a second over nine daemons. Change: owners of pools look every 400 ms, others every 5 s.

--- a/include/radishrail/store_watcher.h
+++ b/include/radishrail/store_watcher.h
@@ -32,11 +32,16 @@
 
   void Start();
   void Stop() { stopped_ = true; }
+  // Time from an answer to the next call. Changes of the meantime come in one
+  // answer, so that the number of calls is bounded however often rows change.
+  // A shorter time than before takes effect at once.
+  void SetPace(absl::Duration pace);
   // False from the first failed call until the next answer.
   bool in_touch() const { return in_touch_; }
 
  private:
   void TakeSnapshot();
+  void WaitPaced();
   void Wait();
   void OnFailure(const Error& error);
   void OnAnswer();
@@ -52,6 +57,10 @@
   bool in_touch_ = true;
   bool stopped_ = false;
   int failures_ = 0;
+  absl::Duration pace_ = absl::ZeroDuration();
+  // Number of the latest planned call; earlier plans are void.
+  uint64_t plan_ = 0;
+  bool planned_ = false;
   // Expires with the watcher; the store may call back later.
   const std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
 };
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -28,6 +28,11 @@
 // A runner that answers is kept for this long after its row has vanished: the
 // rows of live runners lapse while the store is away, and return.
 constexpr absl::Duration kRowGrace = absl::Milliseconds(2500);
+// Time between two looks at the rows of the runners. Each heartbeat of a runner
+// changes its row. Within 2 s, owners must know of a runner that drains; others
+// need the rows only to begin with when they take a pool over.
+constexpr absl::Duration kOwnerPace = absl::Milliseconds(400);
+constexpr absl::Duration kOtherPace = absl::Seconds(5);
 constexpr absl::Duration kMemberRetry = absl::Milliseconds(500);
 constexpr absl::Duration kCancelWait = absl::Milliseconds(400);
 constexpr absl::Duration kPullInterval = absl::Milliseconds(400);
@@ -135,6 +140,7 @@
             "radishrail_document_version",
             "Version of the configuration in force")) {
     ownership_.SetPools({settings.failure_domain});
+    runner_watcher_.SetPace(kOtherPace);
   }
 
   void Start() {
@@ -360,6 +366,7 @@
   void OnStatus(Peer& peer, const PoolStatus& status) {
     peer.document_version = status.document_version;
     for (const auto& it : status.claims) {
+      ownership_.SetPools({it.pool});
       ownership_.OnClaim(it);
       router_.OnClaim(it);
     }
@@ -574,6 +581,7 @@
 
   void OnOwnershipChanged() {
     ApplyRunners();
+    runner_watcher_.SetPace(OwnsAny() ? kOwnerPace : kOtherPace);
     for (auto& [address, peer] : peers_) {
       peer.status_due = absl::InfinitePast();
     }
--- a/src/store_watcher.cc
+++ b/src/store_watcher.cc
@@ -47,7 +47,26 @@
     has_snapshot_ = true;
     version_ = changes->next;
     on_rows_(changes->rows, true);
-    Wait();
+    WaitPaced();
+  });
+}
+
+void StoreWatcher::SetPace(absl::Duration pace) {
+  const bool shorter = pace < pace_;
+  pace_ = pace;
+  if (planned_ && shorter) {
+    WaitPaced();
+  }
+}
+
+void StoreWatcher::WaitPaced() {
+  planned_ = true;
+  executor_.PostDelayed(pace_, [this, plan = ++plan_,
+                                alive = std::weak_ptr<const bool>(alive_)] {
+    if (!alive.expired() && !stopped_ && plan == plan_) {
+      planned_ = false;
+      Wait();
+    }
   });
 }
 
@@ -69,7 +88,7 @@
                  if (!changes->rows.empty()) {
                    on_rows_(changes->rows, false);
                  }
-                 Wait();
+                 WaitPaced();
                });
 }
 
