Answer unfinished jobs as unknown at a stop, and end jobs of clients that left

MIXED: a resubmission joined a job that its entry daemon had ended and got the state "cancelled". Ruled out: waiting longer for the jobs (a task can outlast the grace time).

--- a/include/radishrail/http_server.h
+++ b/include/radishrail/http_server.h
@@ -48,6 +48,9 @@
   void operator()(HttpResponse response) const;
   // Ends the request without a response and closes the connection.
   void CloseConnection() const;
+  // `callback` runs once, on a thread of the server, if the client closes its
+  // connection before the answer. Needs `HttpServerSettings::client_check`.
+  void OnClientGone(std::function<void()> callback) const;
 
  private:
   std::shared_ptr<Exchange> exchange_;
@@ -67,6 +70,12 @@
   // Time for a client to send a whole request, from its connection or its last
   // response; closes connections of clients that send a byte now and then.
   absl::Duration request_timeout = absl::Seconds(40);
+  // Status of requests whose handler has not answered when the server stops:
+  // 502 where their outcome is unknown, 503 where they had no effect.
+  int unfinished_status = 503;
+  // Interval at which the connections of requests in progress are checked for
+  // clients that have left; zero: never.
+  absl::Duration client_check = absl::ZeroDuration();
   // Names of the headers that requests carry to the handler.
   std::vector<std::string> request_headers = {"Authorization",
                                               "Idempotency-Key"};
@@ -76,7 +85,7 @@
 class HttpServer {
  public:
   HttpServer(HttpServerSettings settings, HttpHandler handler);
-  // Stops without waiting for requests in progress; these get status 503.
+  // Stops without waiting for requests in progress.
   ~HttpServer();
 
   bool Start(Error* error);
@@ -87,9 +96,13 @@
   // Requests that were received in part or whole and are not answered yet.
   int requests_in_progress() const;
 
+  // From now on, each response closes its connection, so that clients open new
+  // ones, which the balancer sends elsewhere.
+  void CloseAfterResponses();
+
   // Closes the listening socket, finishes requests in progress and closes all
-  // connections. Requests that are not answered within `timeout` get status
-  // 503. Returns true if there were none of these. Must not be called on a
+  // connections. Requests that are not answered within `timeout` get the status
+  // of the settings. Returns true if there were none of these. Must not be called on a
   // thread of the server.
   bool Stop(absl::Duration timeout);
 
--- a/include/radishrail/job_controller.h
+++ b/include/radishrail/job_controller.h
@@ -60,8 +60,9 @@
   // The present state of a job; nullopt if the key is not remembered. Outputs
   // are included only when the answer is whole.
   std::optional<JobAnswer> Find(std::string_view key) const;
-  // Drops queued tasks; tasks in progress are awaited. False if not remembered.
-  bool Cancel(std::string_view key);
+  // Drops queued tasks; tasks in progress are stopped where the upstream can,
+  // and awaited. `reason` goes into the answer. False if not remembered.
+  bool Cancel(std::string_view key, ErrorCode reason = ErrorCode::kCancelled);
 
   // Places tasks, ends jobs past their deadline, forgets keys past the
   // resubmission window. Call it after each event and at least every 10 ms
--- a/include/radishrail/peer_message.h
+++ b/include/radishrail/peer_message.h
@@ -292,7 +292,8 @@
   MSGPACK_DEFINE(request, key, status, error, detail, retry_after_ms);
 };
 
-// Ends a job wherever the receiver finds it.
+// Ends a job wherever the receiver finds it. Request 0: the caller is gone, and
+// no reply is wanted; otherwise the caller cancels.
 struct PoolJobCancel {
   uint64_t request = 0;
   std::string key;
--- a/include/radishrail/pool_dispatcher.h
+++ b/include/radishrail/pool_dispatcher.h
@@ -41,7 +41,7 @@
   void Submit(JobSpec job,
               std::shared_ptr<const VersionedDocument> document,
               JobController::AnswerCallback callback);
-  bool Cancel(std::string_view key);
+  bool Cancel(std::string_view key, ErrorCode reason);
 
   // Runs what is due; returns the time of the next call.
   absl::Time Tick();
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -51,6 +51,9 @@
   server.max_connections = settings.max_connections;
   server.max_body_bytes = settings.max_body_bytes;
   server.idle_timeout = settings.idle_timeout;
+  // Jobs may have run; "503" would say that they have not.
+  constexpr int kOutcomeUnknown = 502;
+  server.unfinished_status = kOutcomeUnknown;
   return server;
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -25,6 +25,9 @@
 // A node with its sockets and threads.
 class Daemon {
  public:
+  // Time for the last responses to leave after the node is drained.
+  static constexpr absl::Duration kStopTimeout = absl::Seconds(5);
+
   explicit Daemon(const Settings& settings);
   ~Daemon();
 
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -14,8 +14,6 @@
 
 enum ExitCode { kExitOk = 0, kExitFailed = 1, kExitUsage = 2 };
 
-// Time for the last responses to leave after the node is drained.
-constexpr absl::Duration kStopTimeout = absl::Seconds(5);
 constexpr absl::Duration kDrainSlack = absl::Seconds(10);
 
 // Blocks the signals in all threads; `sigtimedwait` receives them.
@@ -45,7 +43,7 @@
   }
   // An operator can start the drain over HTTP as well; it ends the process in
   // the same way.
-  constexpr timespec kPoll = {0, 100'000'000};
+  constexpr timespec kPoll = {0, 250'000'000};
   while (!daemon.WaitUntilDrained(absl::ZeroDuration())) {
     const int signal = sigtimedwait(&signals, nullptr, &kPoll);
     if (signal == SIGHUP) {
@@ -58,7 +56,7 @@
       break;
     }
   }
-  daemon.Stop(kStopTimeout);
+  daemon.Stop(AnyDaemon::kStopTimeout);
   Log(LogLevel::kInfo, "stopped");
   return kExitOk;
 }
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -1,6 +1,7 @@
 #include "radishrail/http_server.h"
 
 #include <microhttpd.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -163,6 +164,39 @@
     FinishLocked();
   }
 
+  void OnClientGone(std::function<void()> callback) {
+    const std::lock_guard lock(mutex_);
+    on_client_gone_ = std::move(callback);
+  }
+
+  // Descriptor of the connection while it waits for an answer; -1 otherwise.
+  int waiting_fd() {
+    const std::lock_guard lock(mutex_);
+    if (connection_ == nullptr || !suspended_) {
+      return -1;
+    }
+    const MHD_ConnectionInfo* info =
+        MHD_get_connection_info(connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return info == nullptr ? -1 : info->connect_fd;
+  }
+
+  // The client has left: closes the connection and tells whoever works on it.
+  void ClientGone() {
+    std::function<void()> callback;
+    {
+      const std::lock_guard lock(mutex_);
+      if (answered_ || connection_ == nullptr) {
+        return;
+      }
+      without_response_ = true;
+      callback = std::move(on_client_gone_);
+      FinishLocked();
+    }
+    if (callback) {
+      callback();
+    }
+  }
+
   // Returns true if the request was answered or is to be closed. Otherwise the
   // connection is suspended until then.
   bool IsAnsweredOrSuspend() {
@@ -200,6 +234,7 @@
   bool without_response_ = false;
   bool answered_ = false;
   bool suspended_ = false;
+  std::function<void()> on_client_gone_;
 };
 
 }  // namespace internal
@@ -221,6 +256,9 @@
 
   void Answer(HttpResponse response) { state_->Answer(std::move(response)); }
   void CloseConnection() { state_->CloseConnection(); }
+  void OnClientGone(std::function<void()> callback) {
+    state_->OnClientGone(std::move(callback));
+  }
 
  private:
   const std::shared_ptr<HttpRequestState> state_;
@@ -237,6 +275,10 @@
   exchange_->CloseConnection();
 }
 
+void HttpResponder::OnClientGone(std::function<void()> callback) const {
+  exchange_->OnClientGone(std::move(callback));
+}
+
 class HttpServer::Impl {
  public:
   Impl(HttpServerSettings settings, HttpHandler handler)
@@ -245,6 +287,10 @@
 
   bool Start(Error* error);
   bool Stop(absl::Duration timeout);
+  void CloseAfterResponses() {
+    const std::lock_guard lock(mutex_);
+    close_after_responses_ = true;
+  }
   uint16_t port() const { return port_; }
   std::string address() const {
     return internal::WithPort(settings_.address, port_);
@@ -286,10 +332,11 @@
   MHD_Result Refuse(MHD_Connection* connection, int status, const char* detail);
   void FillRequest(MHD_Connection* connection, HttpRequest& request) const;
   bool DeclaresTooLargeBody(MHD_Connection* connection) const;
-  bool stopping() const {
+  bool closes_connections() const {
     const std::lock_guard lock(mutex_);
-    return stopping_;
+    return stopping_ || close_after_responses_;
   }
+  void CheckClients();
   bool WaitUntilQuiet(std::chrono::steady_clock::time_point deadline);
   void Sweep();
   void StopSweeper();
@@ -313,6 +360,7 @@
   absl::flat_hash_set<StatePointer> requests_;
   uint64_t requests_begun_ = 0;
   bool stopping_ = false;  // responses close their connections
+  bool close_after_responses_ = false;
   bool refusing_ = false;  // the time for requests in progress is over
   bool sweeping_ = false;
   absl::flat_hash_set<std::unique_ptr<ConnectionRecord>> connections_;
@@ -366,8 +414,10 @@
 void HttpServer::Impl::Sweep() {
   const auto timeout = absl::ToChronoNanoseconds(settings_.request_timeout);
   const auto interval = absl::ToChronoNanoseconds(
-      std::clamp(settings_.request_timeout / kSweepsPerTimeout,
-                 kMinSweepInterval, kMaxSweepInterval));
+      settings_.client_check > absl::ZeroDuration()
+          ? settings_.client_check
+          : std::clamp(settings_.request_timeout / kSweepsPerTimeout,
+                       kMinSweepInterval, kMaxSweepInterval));
   std::unique_lock lock(mutex_);
   while (sweeping_) {
     if (connections_.empty()) {
@@ -380,10 +430,42 @@
         shutdown(it->fd, SHUT_RDWR);
       }
     }
+    if (settings_.client_check > absl::ZeroDuration()) {
+      lock.unlock();
+      CheckClients();
+      lock.lock();
+    }
     sweep_.wait_for(lock, interval, [&] { return !sweeping_; });
   }
 }
 
+// libmicrohttpd does not watch the socket of a request that waits for its
+// answer, so that a client that leaves would go unnoticed.
+void HttpServer::Impl::CheckClients() {
+  std::vector<StatePointer> waiting;
+  {
+    const std::lock_guard lock(mutex_);
+    waiting.assign(requests_.begin(), requests_.end());
+  }
+  std::vector<pollfd> sockets;
+  std::vector<StatePointer> states;
+  for (auto& it : waiting) {
+    const int fd = it->waiting_fd();
+    if (fd >= 0) {
+      sockets.push_back({fd, POLLRDHUP, 0});
+      states.push_back(std::move(it));
+    }
+  }
+  if (sockets.empty() || poll(sockets.data(), sockets.size(), 0) <= 0) {
+    return;
+  }
+  for (size_t i = 0; i < sockets.size(); ++i) {
+    if ((sockets[i].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
+      states[i]->ClientGone();
+    }
+  }
+}
+
 void HttpServer::Impl::StopSweeper() {
   {
     const std::lock_guard lock(mutex_);
@@ -466,8 +548,12 @@
     unanswered.assign(requests_.begin(), requests_.end());
   }
   for (const auto& it : unanswered) {
-    it->Answer(ErrorResponse(MHD_HTTP_SERVICE_UNAVAILABLE, ErrorCode::kDraining,
-                             "the server stops"));
+    it->Answer(ErrorResponse(
+        settings_.unfinished_status,
+        settings_.unfinished_status == MHD_HTTP_SERVICE_UNAVAILABLE
+            ? ErrorCode::kDraining
+            : ErrorCode::kOutcomeUnknown,
+        "the server stops"));
   }
   if (!unanswered.empty()) {
     WaitUntilQuiet(std::chrono::steady_clock::now() + kFinalSendTime);
@@ -590,7 +676,8 @@
   }
   return state->without_response()
              ? MHD_NO
-             : QueueResponse(connection, state->TakeResponse(), stopping());
+             : QueueResponse(connection, state->TakeResponse(),
+                             closes_connections());
 }
 
 MHD_Result HttpServer::Impl::OnAccess(void* self,
@@ -656,6 +743,10 @@
   return impl_->requests_in_progress();
 }
 
+void HttpServer::CloseAfterResponses() {
+  impl_->CloseAfterResponses();
+}
+
 bool HttpServer::Stop(absl::Duration timeout) {
   return impl_->Stop(timeout);
 }
--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -135,7 +135,7 @@
                              : Restore(*record, nullptr);
   }
 
-  bool Cancel(std::string_view key) {
+  bool Cancel(std::string_view key, ErrorCode reason) {
     const CallScope scope(*this);
     const KeyRecord* record = keys_.Find(key);
     if (record == nullptr) {
@@ -146,8 +146,10 @@
       metrics_.cancelled.Add();
       RecordEvent(EventType::kJobCancelled, job->spec.key);
       job->cancelled = true;
-      job->error = {ErrorCode::kCancelled, Step::kQueue, "",
-                    "the caller cancelled the job"};
+      job->error = {reason, Step::kQueue, "",
+                    reason == ErrorCode::kCancelled
+                        ? "the caller cancelled the job"
+                        : "the caller or its entry daemon is gone"};
       DropQueued(*job);
       StopRunning(*job);
       EndIfWhole(*job);
@@ -873,8 +875,8 @@
 std::optional<JobAnswer> JobController::Find(std::string_view key) const {
   return impl_->Find(key);
 }
-bool JobController::Cancel(std::string_view key) {
-  return impl_->Cancel(key);
+bool JobController::Cancel(std::string_view key, ErrorCode reason) {
+  return impl_->Cancel(key, reason);
 }
 void JobController::PlaceTasks() {
   impl_->PlaceTasks();
--- a/src/pool_dispatcher.cc
+++ b/src/pool_dispatcher.cc
@@ -108,8 +108,8 @@
   jobs_.PlaceTasks();
 }
 
-bool PoolDispatcher::Cancel(std::string_view key) {
-  return jobs_.Cancel(key);
+bool PoolDispatcher::Cancel(std::string_view key, ErrorCode reason) {
+  return jobs_.Cancel(key, reason);
 }
 
 absl::Time PoolDispatcher::Tick() {
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -9,6 +9,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
+#include "radishrail/job_answers.h"
 #include "radishrail/log.h"
 #include "radishrail/pool_dispatcher.h"
 #include "radishrail/pool_ownership.h"
@@ -35,6 +36,8 @@
 constexpr absl::Duration kOtherPace = absl::Seconds(5);
 constexpr absl::Duration kMemberRetry = absl::Milliseconds(500);
 constexpr absl::Duration kCancelWait = absl::Milliseconds(400);
+// Another daemon takes the request at once.
+constexpr absl::Duration kDrainRetry = absl::Milliseconds(100);
 constexpr absl::Duration kPullInterval = absl::Milliseconds(400);
 
 std::string EncodeMember(const MemberRecord& member) {
@@ -172,17 +175,26 @@
   void Submit(JobSpec job,
               const RoutedDocument& route,
               AnswerCallback callback) {
+    if (handing_over_) {
+      callback(NotRunAnswer(job,
+                            {ErrorCode::kDraining, Step::kDrain, "",
+                             "the daemon is shutting down"},
+                            kDrainRetry, TaskErrors::kOmitted));
+      return;
+    }
     router_.Submit(std::move(job), route, std::move(callback));
   }
 
   void Abandon(const std::string& key) {
-    router_.Abandon(key, [&] { dispatcher_.Cancel(key); });
+    router_.Abandon(key, [&] {
+      dispatcher_.Cancel(key, ErrorCode::kConnectionBroken);
+    });
   }
 
   void Cancel(const std::string& key, std::function<void(bool)> done) {
     PendingCancel cancel;
     cancel.done = std::move(done);
-    cancel.known = dispatcher_.Cancel(key);
+    cancel.known = dispatcher_.Cancel(key, ErrorCode::kCancelled);
     cancel.deadline = env_.clock.Monotonic() + kCancelWait;
     const uint64_t request = next_cancel_++;
     std::set<std::string> owners;
@@ -214,7 +226,9 @@
     } else if (const auto* reply = std::get_if<PoolJobReply>(&message)) {
       router_.OnReply(*reply);
     } else if (const auto* cancel = std::get_if<PoolJobCancel>(&message)) {
-      const bool known = dispatcher_.Cancel(cancel->key);
+      const bool known = dispatcher_.Cancel(
+          cancel->key, cancel->request == 0 ? ErrorCode::kConnectionBroken
+                                            : ErrorCode::kCancelled);
       if (cancel->request != 0) {
         env_.transport.Send(sender.peer_address,
                             PoolJobCancelReply{cancel->request, known});
@@ -476,7 +490,7 @@
          {"reason", reason}});
     for (const auto& [key, number] : keys) {
       forwarded_.erase(number);
-      dispatcher_.Cancel(key);
+      dispatcher_.Cancel(key, ErrorCode::kConnectionBroken);
     }
   }
 
