Offer refused jobs to other pools

Cause: most prices came from jobs refused while other pools had room; an entry daemon chose by loads up to 200 ms old. Ruled out: not refusing at all (late answers take the room of others). Change: a job that a pool refused as not run is offered to up to two others; replies carry the load of the pool; owners send their load every 100 ms.

--- a/include/radishrail/peer_message.h
+++ b/include/radishrail/peer_message.h
@@ -289,7 +289,17 @@
   uint32_t error = 0;   // ErrorCode
   std::string detail;
   uint32_t retry_after_ms = 0;
-  MSGPACK_DEFINE(request, key, status, error, detail, retry_after_ms);
+  // Load of the pool, as in `PoolClaim`.
+  uint32_t busy_slots = 0;
+  uint32_t backlog_ms = 0;
+  MSGPACK_DEFINE(request,
+                 key,
+                 status,
+                 error,
+                 detail,
+                 retry_after_ms,
+                 busy_slots,
+                 backlog_ms);
 };
 
 // Ends a job wherever the receiver finds it. Request 0: the caller is gone, and
--- a/include/radishrail/pool_router.h
+++ b/include/radishrail/pool_router.h
@@ -4,9 +4,11 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -21,9 +23,10 @@
 namespace radishrail {
 
 // The entry daemon's side: chooses the pool of each job, hands the job to the
-// pool's owner and matches the answer. A job is handed over once; if its owner
-// falls silent, the caller is told that the outcome is unknown, and the owner
-// is told to end the job. Single-threaded.
+// pool's owner and matches the answer. A job that an owner refused as not run is
+// offered to other pools. If the owner falls silent, the caller is told that
+// the outcome is unknown, and the owner is told to end the job.
+// Single-threaded.
 class PoolRouter {
  public:
   using AnswerCallback = std::function<void(const JobAnswer&)>;
@@ -60,13 +63,23 @@
   bool HasPendingAt(const std::string& address) const;
 
  private:
+  // A job and the pools that it was offered to.
+  struct Offer {
+    JobSpec job;
+    std::shared_ptr<const VersionedDocument> document;
+    int slots = 0;
+    absl::Time deadline;
+    std::vector<std::string> tried;
+    AnswerCallback callback;
+  };
+  using OfferPointer = std::shared_ptr<Offer>;
+
   struct Pending {
-    std::string key;
+    OfferPointer offer;
     std::string pool;
     std::string address;
     uint64_t fence = 0;
     absl::Time deadline;
-    AnswerCallback callback;
   };
 
   struct PoolLoad {
@@ -75,11 +88,12 @@
     absl::Duration backlog;
   };
 
-  std::optional<std::string> Choose(int slots) const;
-  void Forward(const PoolClaim& owner,
-               JobSpec job,
-               const RoutedDocument& route,
-               AnswerCallback callback);
+  // The pool with the least expected waiting that was not tried yet.
+  std::optional<std::string> Choose(const Offer& offer) const;
+  void MakeOffer(const OfferPointer& offer);
+  void Forward(const PoolClaim& owner, const OfferPointer& offer);
+  // Offers a job that did not run to another pool, or answers.
+  void OnAnswer(const OfferPointer& offer, const JobAnswer& answer);
   void Fail(uint64_t request, ErrorCode code, const char* reason);
 
   const std::string vm_;
@@ -91,6 +105,7 @@
   Counter& forwarded_;
   Counter& unknown_;
   Counter& no_owner_;
+  Counter& offered_again_;
   uint64_t next_request_;
   std::map<uint64_t, Pending> pending_;
   absl::flat_hash_map<std::string, PoolLoad> loads_;
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -21,7 +21,7 @@
 namespace {
 
 constexpr std::string_view kMemberPrefix = "members/";
-constexpr absl::Duration kStatusInterval = absl::Milliseconds(200);
+constexpr absl::Duration kStatusInterval = absl::Milliseconds(100);
 constexpr absl::Duration kIdleStatusInterval = absl::Seconds(1);
 // An entry daemon that is silent for longer has its jobs ended, since its
 // callers submit them again elsewhere.
@@ -474,6 +474,10 @@
     reply.detail = answer.error.detail;
     reply.retry_after_ms = static_cast<uint32_t>(
         absl::ToInt64Milliseconds(answer.retry_after));
+    const SchedulerLoad load = dispatcher_.load();
+    reply.busy_slots = static_cast<uint32_t>(std::max(load.busy_slots, 0));
+    reply.backlog_ms =
+        static_cast<uint32_t>(absl::ToInt64Milliseconds(load.backlog));
     env_.transport.Send(job.address, reply);
   }
 
--- a/src/pool_router.cc
+++ b/src/pool_router.cc
@@ -17,6 +17,8 @@
 constexpr absl::Duration kForeignPenalty = absl::Milliseconds(25);
 // Time after a job's deadline in which its owner may still answer.
 constexpr absl::Duration kAnswerSlack = absl::Milliseconds(200);
+// Pools that a job is offered to before it is refused.
+constexpr size_t kMaxOffers = 3;
 constexpr absl::Duration kNoOwnerRetry = absl::Milliseconds(500);
 
 int SlotsOf(const JobSpec& job) {
@@ -65,6 +67,9 @@
                                "Jobs whose owner fell silent")),
       no_owner_(metrics.counter("radishrail_pool_jobs_without_owner_total",
                                 "Jobs refused since no pool had an owner")),
+      offered_again_(
+          metrics.counter("radishrail_pool_jobs_offered_again_total",
+                          "Jobs that a pool refused, offered to another")),
       next_request_(first_request) {}
 
 void PoolRouter::OnClaim(const PoolClaim& claim) {
@@ -73,18 +78,21 @@
                         absl::Milliseconds(claim.backlog_ms)};
 }
 
-std::optional<std::string> PoolRouter::Choose(int slots) const {
+std::optional<std::string> PoolRouter::Choose(const Offer& offer) const {
   std::optional<std::string> best;
   absl::Duration best_wait = absl::InfiniteDuration();
   for (const auto& name : ownership_.Pools()) {
     const PoolClaim* owner = ownership_.Owner(name);
     const auto load = loads_.find(name);
     if (owner == nullptr || load == loads_.end() || !owner->accepting ||
-        load->second.slots == 0) {
+        load->second.slots == 0 ||
+        std::find(offer.tried.begin(), offer.tried.end(), name) !=
+            offer.tried.end()) {
       continue;
     }
     const PoolLoad& it = load->second;
-    const int lacking = std::clamp(slots - (it.slots - it.busy), 0, slots);
+    const int lacking =
+        std::clamp(offer.slots - (it.slots - it.busy), 0, offer.slots);
     absl::Duration wait =
         it.backlog + kFullPoolWait * lacking / std::max(it.slots, 1);
     if (name != failure_domain_) {
@@ -112,73 +120,94 @@
     it.kind = job.environment;
     it.max_failures = route.max_failures;
   }
-  const int slots = SlotsOf(job);
-  const auto pool = Choose(slots);
+  auto offer = std::make_shared<Offer>();
+  offer->slots = SlotsOf(job);
+  offer->deadline = clock_.Monotonic() + job.deadline;
+  offer->job = std::move(job);
+  offer->document = route.document;
+  offer->callback = std::move(callback);
+  MakeOffer(offer);
+}
+
+void PoolRouter::MakeOffer(const OfferPointer& offer) {
+  const auto pool = Choose(*offer);
   if (!pool.has_value()) {
     no_owner_.Add();
-    callback(NotRunAnswer(job,
-                          {ErrorCode::kNoOwner, Step::kOwnership, "",
-                           "no pool has a living owner"},
-                          kNoOwnerRetry, TaskErrors::kOmitted));
+    offer->callback(NotRunAnswer(offer->job,
+                                 {ErrorCode::kNoOwner, Step::kOwnership, "",
+                                  "no pool has a living owner"},
+                                 kNoOwnerRetry, TaskErrors::kOmitted));
     return;
   }
-  loads_[*pool].busy += slots;
+  offer->tried.push_back(*pool);
+  loads_[*pool].busy += offer->slots;
+  offer->job.deadline = offer->deadline - clock_.Monotonic();
   if (ownership_.OwnedFence(*pool) != 0) {
-    local_(std::move(job), route.document, std::move(callback));
+    local_(offer->job, offer->document,
+           [this, offer](const JobAnswer& answer) { OnAnswer(offer, answer); });
     return;
   }
-  Forward(*ownership_.Owner(*pool), std::move(job), route,
-          std::move(callback));
+  Forward(*ownership_.Owner(*pool), offer);
 }
 
-void PoolRouter::Forward(const PoolClaim& owner,
-                         JobSpec job,
-                         const RoutedDocument& route,
-                         AnswerCallback callback) {
+void PoolRouter::OnAnswer(const OfferPointer& offer, const JobAnswer& answer) {
+  const bool elsewhere = answer.status == JobStatus::kNotRun &&
+                         offer->tried.size() < kMaxOffers &&
+                         Choose(*offer).has_value();
+  if (!elsewhere) {
+    offer->callback(answer);
+    return;
+  }
+  offered_again_.Add();
+  MakeOffer(offer);
+}
+
+void PoolRouter::Forward(const PoolClaim& owner, const OfferPointer& offer) {
+  const JobSpec& job = offer->job;
   PoolJobRequest request;
   request.request = next_request_++;
   request.pool = owner.pool;
   request.key = job.key;
   request.environment = job.environment;
   request.upstream_class = job.upstream_class;
-  request.payload = std::move(job.payload);
+  request.payload = job.payload;
   request.steps = EncodeTasks(job);
   request.deadline_ms =
       static_cast<uint32_t>(absl::ToInt64Milliseconds(job.deadline));
   request.promised_ms =
       static_cast<uint32_t>(absl::ToInt64Milliseconds(job.promised));
-  request.max_failures = static_cast<uint32_t>(route.max_failures);
-  request.document_version = route.document->version;
+  request.max_failures = static_cast<uint32_t>(job.tasks.front().max_failures);
+  request.document_version = offer->document->version;
   forwarded_.Add();
-  if (!transport_.Send(owner.address, request)) {
-    callback(NotRunAnswer(job,
-                          {ErrorCode::kUnreachable, Step::kForward,
-                           owner.address, "the owner cannot be reached"},
-                          kNoOwnerRetry, TaskErrors::kOmitted));
+  const std::string address = owner.address;
+  if (!transport_.Send(address, request)) {
+    OnAnswer(offer, NotRunAnswer(job,
+                                 {ErrorCode::kUnreachable, Step::kForward,
+                                  address, "the owner cannot be reached"},
+                                 kNoOwnerRetry, TaskErrors::kOmitted));
     return;
   }
-  pending_[request.request] = {job.key,
-                               owner.pool,
-                               owner.address,
-                               owner.fence,
-                               clock_.Monotonic() + job.deadline + kAnswerSlack,
-                               std::move(callback)};
+  pending_[request.request] = {offer, request.pool, address, owner.fence,
+                               offer->deadline + kAnswerSlack};
 }
 
 void PoolRouter::OnReply(const PoolJobReply& reply) {
   const auto it = pending_.find(reply.request);
-  if (it == pending_.end() || it->second.key != reply.key) {
+  if (it == pending_.end() || it->second.offer->job.key != reply.key) {
     return;
   }
-  const AnswerCallback callback = std::move(it->second.callback);
+  const Pending pending = std::move(it->second);
+  pending_.erase(it);
   JobAnswer answer;
   answer.key = reply.key;
   answer.status = static_cast<JobStatus>(reply.status);
   answer.error = {static_cast<ErrorCode>(reply.error), Step::kForward,
-                  it->second.address, reply.detail};
+                  pending.address, reply.detail};
   answer.retry_after = absl::Milliseconds(reply.retry_after_ms);
-  pending_.erase(it);
-  callback(answer);
+  PoolLoad& load = loads_[pending.pool];
+  load.busy = static_cast<int>(reply.busy_slots);
+  load.backlog = absl::Milliseconds(reply.backlog_ms);
+  OnAnswer(pending.offer, answer);
 }
 
 void PoolRouter::Fail(uint64_t request, ErrorCode code, const char* reason) {
@@ -189,21 +218,22 @@
   const Pending pending = std::move(it->second);
   pending_.erase(it);
   unknown_.Add();
+  const std::string& key = pending.offer->job.key;
   // The owner may live and reach its upstreams; it must not go on with a job
   // that the caller may submit again.
-  transport_.Send(pending.address, PoolJobCancel{0, pending.key});
+  transport_.Send(pending.address, PoolJobCancel{0, key});
   JobAnswer answer;
-  answer.key = pending.key;
+  answer.key = key;
   answer.status = JobStatus::kFailed;
   answer.error = {code, Step::kForward, pending.address, reason};
-  pending.callback(answer);
+  pending.offer->callback(answer);
 }
 
 void PoolRouter::Abandon(std::string_view key,
                          const std::function<void()>& end_local) {
   for (auto it = pending_.begin(); it != pending_.end(); ++it) {
-    if (it->second.key == key) {
-      transport_.Send(it->second.address, PoolJobCancel{0, it->second.key});
+    if (it->second.offer->job.key == key) {
+      transport_.Send(it->second.address, PoolJobCancel{0, std::string(key)});
       pending_.erase(it);
       return;
     }
