End runs on lost runners when their lease is over

Cause: the time at which all leases of a runner are over was computed from now, so that it never passed, and a run on a runner that was cut off never ended. Ruled out: a lost timer (the check ran at each tick). Change: the end of the lease counts from the last reading of the runner's clock. A fake runner with leases, fences, numbered ends and lost or late orders; 14 tests of the client on it.

--- a/src/leased_upstream_client.cc
+++ b/src/leased_upstream_client.cc
@@ -266,9 +266,10 @@
 }
 
 absl::Time LeasedUpstreamClient::Impl::LeaseOver(const Runner& runner) const {
-  const int64_t left = std::max<int64_t>(
-      0, runner.lease_until_ms - ClockMs(runner));
-  return Now() + absl::Milliseconds(left) / (1 - kClockTolerance) +
+  const int64_t left =
+      std::max<int64_t>(0, runner.lease_until_ms - runner.clock_ms);
+  return runner.clock_received +
+         absl::Milliseconds(left) / (1 - kClockTolerance) +
          settings_.stop_time;
 }
 
--- /dev/null
+++ b/tests/leased_upstream_client_test.cc
@@ -0,0 +1,228 @@
+#include "radishrail/leased_upstream_client.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gmock/gmock.h"
+#include "gtest/gtest.h"
+#include "pool_world.h"
+
+namespace radishrail {
+namespace {
+
+class LeasedUpstreamClientTest : public testing::Test {
+ protected:
+  static constexpr uint64_t kFence = 7;
+
+  LeasedUpstreamClientTest() {
+    transport_.runners["r1:1"] = &runner_;
+    SetFence(kFence);
+    Run(absl::Milliseconds(10));
+  }
+
+  void SetFence(uint64_t fence) {
+    VmInfo info;
+    info.vm = "r1";
+    info.address = "r1:1";
+    info.failure_domain = "d1";
+    client_.SetRunners({{info, fence}});
+  }
+
+  // Ticks the client at least every millisecond of virtual time.
+  void Run(absl::Duration duration) {
+    const absl::Time end = clock_.Monotonic() + duration;
+    while (clock_.Monotonic() < end) {
+      client_.Tick();
+      loop_.RunFor(absl::Milliseconds(1));
+    }
+  }
+
+  void Start(const std::string& task, int attempt = 1) {
+    TaskStart start;
+    start.job_key = "job";
+    start.task_id = task;
+    start.attempt = attempt;
+    start.address = "r1:1";
+    start.start_by_monotonic = clock_.Monotonic() + absl::Seconds(5);
+    start.expected_run = absl::Milliseconds(100);
+    client_.Start(std::move(start), [this, task](const TaskResult& result) {
+      results_.emplace_back(task, result.outcome);
+    });
+  }
+
+  FakeClock clock_;
+  EventLoop loop_{clock_};
+  RunLog log_;
+  FakeRunner runner_{loop_, clock_, log_, "r1"};
+  FakeRunnerTransport transport_{loop_, clock_};
+  Metrics metrics_;
+  std::vector<std::string> fenced_;
+  int usable_changes_ = 0;
+  std::vector<std::pair<std::string, TaskOutcome>> results_;
+  LeasedUpstreamClient client_{
+      clock_,
+      transport_,
+      {},
+      metrics_,
+      [this](const std::string& pool) { fenced_.push_back(pool); },
+      [this] { ++usable_changes_; }};
+};
+
+using testing::ElementsAre;
+using testing::IsEmpty;
+using testing::Pair;
+
+// Guards against ends that are never read or read twice.
+TEST_F(LeasedUpstreamClientTest, RunEndsDoneReportsDoneOnce) {
+  ASSERT_TRUE(client_.Usable("r1"));
+  Start("0.0.0");
+  Run(absl::Seconds(1));
+  EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kDone)));
+  EXPECT_EQ(client_.runs(), 0u);
+}
+
+// Guards against a lease that is not extended while a run is at work.
+TEST_F(LeasedUpstreamClientTest, RunLongerThanLeaseIsNotLapsed) {
+  runner_.run_time = absl::Seconds(4);
+  Start("0.0.0");
+  Run(absl::Seconds(5));
+  EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kDone)));
+}
+
+// Guards against looks at runners that have nothing to do.
+TEST_F(LeasedUpstreamClientTest, IdleRunnerIsNotLookedAt) {
+  Start("0.0.0");
+  Run(absl::Seconds(3));
+  const int holds = transport_.holds;
+  Run(absl::Seconds(30));
+  EXPECT_EQ(transport_.holds, holds);
+}
+
+TEST_F(LeasedUpstreamClientTest, RunFailsReportsFailed) {
+  runner_.failing = true;
+  Start("0.0.0");
+  Run(absl::Milliseconds(100));
+  EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kFailed)));
+}
+
+TEST_F(LeasedUpstreamClientTest, RunnerWithoutRoomReportsNotStarted) {
+  runner_.room = 0;
+  Start("0.0.0");
+  Run(absl::Milliseconds(10));
+  EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kNotStarted)));
+}
+
+// Guards against a second start while the first order may still be carried out:
+// the result must wait until the stop makes the order void.
+TEST_F(LeasedUpstreamClientTest, StartCarriedOutLateDoesNotRun) {
+  transport_.start_delay = absl::Seconds(3);
+  Start("0.0.0");
+  Run(absl::Milliseconds(240));
+  EXPECT_THAT(results_, IsEmpty());
+  transport_.start_delay = absl::ZeroDuration();
+  Run(absl::Milliseconds(400));
+  EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kEnded)));
+  Run(absl::Seconds(4));
+  EXPECT_EQ(log_.starts["job"], 0);
+}
+
+// Guards against the loss of a result whose order was answered to nobody.
+TEST_F(LeasedUpstreamClientTest, StartAnswerLostReportsHowTheRunEnded) {
+  transport_.deaf.insert("r1:1");
+  Start("0.0.0");
+  Run(absl::Milliseconds(50));
+  transport_.deaf.clear();
+  Run(absl::Seconds(1));
+  ASSERT_EQ(results_.size(), 1u);
+  EXPECT_EQ(log_.starts["job"], 1);
+  EXPECT_EQ(log_.active["job/0.0.0"], 0);
+}
+
+// Guards against a result before the lease is over: another start would run
+// beside the one that the daemon cannot see.
+TEST_F(LeasedUpstreamClientTest, RunnerCutOffReportsEndedAfterItsLease) {
+  runner_.run_time = absl::Seconds(10);
+  Start("0.0.0");
+  Run(absl::Milliseconds(100));
+  transport_.cut.insert("r1:1");
+  for (int i = 0; i < 300 && results_.empty(); ++i) {
+    Run(absl::Milliseconds(10));
+  }
+  EXPECT_EQ(runner_.runs(), 0u);
+  EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kEnded)));
+  EXPECT_FALSE(client_.Usable("r1"));
+  transport_.cut.clear();
+  Run(absl::Seconds(3));
+  EXPECT_TRUE(client_.Usable("r1"));
+}
+
+TEST_F(LeasedUpstreamClientTest, StopEndsTheRun) {
+  runner_.run_time = absl::Seconds(10);
+  Start("0.0.0");
+  Run(absl::Milliseconds(20));
+  client_.Stop("job", "0.0.0", 1);
+  Run(absl::Milliseconds(200));
+  EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kEnded)));
+  EXPECT_EQ(runner_.runs(), 0u);
+}
+
+// Guards against a stop that is forgotten because the start is on its way.
+TEST_F(LeasedUpstreamClientTest, StopBeforeStartIsAnsweredEndsTheRun) {
+  runner_.run_time = absl::Seconds(10);
+  Start("0.0.0");
+  client_.Stop("job", "0.0.0", 1);
+  Run(absl::Milliseconds(300));
+  EXPECT_EQ(results_.size(), 1u);
+  EXPECT_EQ(runner_.runs(), 0u);
+}
+
+// Guards against runs of a former owner that live on: their lease would be
+// extended with that of the new owner's runs.
+TEST_F(LeasedUpstreamClientTest, NewOwnerStopsRunsOfTheFormerOwnerFirst) {
+  runner_.run_time = absl::Seconds(10);
+  Start("0.0.0");
+  Run(absl::Milliseconds(20));
+  ASSERT_EQ(runner_.runs(), 1u);
+  SetFence(kFence + 1);
+  EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kUnknown)));
+  EXPECT_FALSE(client_.Usable("r1"));
+  Run(absl::Milliseconds(300));
+  EXPECT_EQ(runner_.runs(), 0u);
+  EXPECT_TRUE(client_.Usable("r1"));
+}
+
+// Guards against an owner that goes on after it was replaced.
+TEST_F(LeasedUpstreamClientTest, RunnerObeysHigherFenceReportsFenced) {
+  StopOrder order;
+  order.runner = {"r1", "r1:1"};
+  order.fence = kFence + 1;
+  runner_.Stop(order);
+  Start("0.0.0");
+  Run(absl::Milliseconds(10));
+  EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kNotStarted)));
+  EXPECT_THAT(fenced_, ElementsAre("d1"));
+}
+
+// Guards against waiting for a run that died with its runner's life.
+TEST_F(LeasedUpstreamClientTest, RunnerBeginsAnotherLifeReportsEnded) {
+  runner_.run_time = absl::Seconds(10);
+  Start("0.0.0");
+  Run(absl::Milliseconds(100));
+  runner_.Crash();
+  Run(absl::Seconds(2));
+  EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kEnded)));
+  Start("0.0.0", 2);
+  runner_.run_time = absl::Milliseconds(50);
+  Run(absl::Seconds(1));
+  EXPECT_EQ(log_.violations.size(), 0u);
+}
+
+TEST_F(LeasedUpstreamClientTest, UnknownRunnerReportsNotStarted) {
+  client_.SetRunners({});
+  Start("0.0.0");
+  EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kNotStarted)));
+}
+
+}  // namespace
+}  // namespace radishrail
