Refuse requests that waited in a paused process

Cause: the fleet test found two runs of a task at once: a daemon that stood still answered, on waking, requests from its buffers whose callers had submitted the job elsewhere, before it read the cancellations behind them. Ruled out: deadlines in requests (wall clocks differ between machines); dropping all input after a pause (it holds answers as well). Change: requests and load reports carry the sender's monotonic clock, and an owner refuses what took 400 ms longer than the sender's fastest message; a sign of life counts from when it was sent; no task is started by a dispatcher that has not ticked for 400 ms; a request whose client has closed its connection is not dispatched.

--- a/include/radishrail/peer_message.h
+++ b/include/radishrail/peer_message.h
@@ -245,7 +245,8 @@
 struct PoolStatus {
   std::vector<PoolClaim> claims;
   int64_t document_version = 0;
-  MSGPACK_DEFINE(claims, document_version);
+  int64_t sent_us = 0;  // on the sender's monotonic clock
+  MSGPACK_DEFINE(claims, document_version, sent_us);
 };
 
 // Equal tasks of a job.
@@ -269,6 +270,7 @@
   uint32_t promised_ms = 0;
   uint32_t max_failures = 1;
   int64_t document_version = 0;
+  int64_t sent_us = 0;  // on the sender's monotonic clock
   MSGPACK_DEFINE(request,
                  pool,
                  key,
@@ -279,7 +281,8 @@
                  deadline_ms,
                  promised_ms,
                  max_failures,
-                 document_version);
+                 document_version,
+                 sent_us);
 };
 
 struct PoolJobReply {
--- a/include/radishrail/pool_dispatcher.h
+++ b/include/radishrail/pool_dispatcher.h
@@ -43,7 +43,9 @@
               JobController::AnswerCallback callback);
   bool Cancel(std::string_view key, ErrorCode reason);
 
-  // Runs what is due; returns the time of the next call.
+  // Runs what is due; returns the time of the next call. No task is started if
+  // the last call is long ago: the process stood still, and what happened
+  // meanwhile (callers that left, owners that changed) must be seen first.
   absl::Time Tick();
   SchedulerLoad load() const { return scheduler_->load(); }
   size_t jobs_in_progress() const { return jobs_.jobs_in_progress(); }
@@ -74,6 +76,7 @@
   JobController jobs_;
   std::vector<LeasedUpstreamClient::OwnedRunner> runners_;
   bool list_changed_ = false;
+  absl::Time last_tick_ = absl::InfinitePast();
 };
 
 }  // namespace radishrail
--- a/include/radishrail/pool_ownership.h
+++ b/include/radishrail/pool_ownership.h
@@ -46,8 +46,8 @@
 
   // The pools that have upstreams.
   void SetPools(const std::vector<std::string>& pools);
-  // A claim that a peer sent; shows that its owner lives.
-  void OnClaim(const PoolClaim& claim);
+  // A claim that a peer sent at `sent`; shows that its owner lived then.
+  void OnClaim(const PoolClaim& claim, absl::Time sent);
   // The connection to an owner broke; it is asked for a sign of life soon.
   void OnPeerDisconnected(const std::string& address);
   // A runner of the pool obeys a higher fence.
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -67,6 +67,14 @@
   delete static_cast<std::string*>(body);
 }
 
+bool HasLeft(MHD_Connection* connection) {
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  pollfd socket = {info->connect_fd, POLLRDHUP, 0};
+  return poll(&socket, 1, 0) > 0 &&
+         (socket.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 MHD_Result QueueResponse(MHD_Connection* connection,
                          HttpResponse response,
                          bool close) {
@@ -663,6 +671,12 @@
         record->receiving = false;
       }
     }
+    if (settings_.client_check > absl::ZeroDuration() &&
+        HasLeft(connection)) {
+      // After a pause of the process, requests of clients that have long gone
+      // elsewhere are still in the buffers.
+      return MHD_NO;
+    }
     if (refusing) {
       state->Answer(ErrorResponse(MHD_HTTP_SERVICE_UNAVAILABLE,
                                   ErrorCode::kDraining, "the server stops"));
--- a/src/pool_dispatcher.cc
+++ b/src/pool_dispatcher.cc
@@ -12,6 +12,8 @@
 constexpr absl::Duration kBusyTick = absl::Milliseconds(10);
 // Ejections end this often at the latest.
 constexpr absl::Duration kIdleTick = absl::Milliseconds(500);
+// The node ticks several times as often.
+constexpr absl::Duration kMaxTickAge = absl::Milliseconds(400);
 // Slots of an upstream on probation: one large task.
 constexpr int kProbationSlots = 40;
 constexpr int kEjectionFailures = 3;
@@ -29,6 +31,14 @@
 }  // namespace
 
 void PoolDispatcher::PlacingClient::Start(TaskStart start, Callback callback) {
+  if (dispatcher_.clock_.Monotonic() - dispatcher_.last_tick_ > kMaxTickAge) {
+    TaskResult result;
+    result.outcome = TaskOutcome::kNotStarted;
+    result.error = {ErrorCode::kNotReady, Step::kHandOver, "",
+                    "the process stood still"};
+    callback(std::move(result));
+    return;
+  }
   dispatcher_.client_.Start(
       std::move(start),
       [this, callback = std::move(callback)](TaskResult result) {
@@ -113,6 +123,7 @@
 }
 
 absl::Time PoolDispatcher::Tick() {
+  last_tick_ = clock_.Monotonic();
   absl::Time due = client_.Tick();
   registry_.Tick();
   if (list_changed_) {
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -34,6 +34,9 @@
 // need the rows only to begin with when they take a pool over.
 constexpr absl::Duration kOwnerPace = absl::Milliseconds(400);
 constexpr absl::Duration kOtherPace = absl::Seconds(5);
+// A request that was on its way for longer waited in the buffers of a process
+// that stood still; its caller may have submitted the job elsewhere.
+constexpr absl::Duration kStaleRequest = absl::Milliseconds(400);
 constexpr absl::Duration kMemberRetry = absl::Milliseconds(500);
 constexpr absl::Duration kCancelWait = absl::Milliseconds(400);
 // Another daemon takes the request at once.
@@ -60,6 +63,9 @@
 
 struct Peer {
   MemberRecord record;
+  // Least difference between the local clock and the sender's, which includes
+  // the shortest way of a message.
+  std::optional<absl::Duration> clock_difference;
   absl::Time heard = absl::InfinitePast();
   int64_t document_version = 0;
   absl::Time status_due = absl::InfinitePast();
@@ -217,12 +223,16 @@
 
   void OnPeerMessage(const MemberRecord& sender, const PeerMessage& message) {
     Peer& peer = peers_[sender.peer_address];
+    if (peer.record.incarnation != sender.incarnation) {
+      peer.clock_difference.reset();
+    }
     peer.record = sender;
-    peer.heard = env_.clock.Monotonic();
     if (const auto* status = std::get_if<PoolStatus>(&message)) {
       OnStatus(peer, *status);
     } else if (const auto* job = std::get_if<PoolJobRequest>(&message)) {
-      OnJob(sender.peer_address, *job);
+      const absl::Duration on_the_way = TimeOnTheWay(peer, job->sent_us);
+      peer.heard = std::max(peer.heard, env_.clock.Monotonic() - on_the_way);
+      OnJob(sender.peer_address, *job, on_the_way);
     } else if (const auto* reply = std::get_if<PoolJobReply>(&message)) {
       router_.OnReply(*reply);
     } else if (const auto* cancel = std::get_if<PoolJobCancel>(&message)) {
@@ -355,6 +365,7 @@
 
   PoolStatus MakeStatus() const {
     PoolStatus status;
+    status.sent_us = absl::ToUnixMicros(env_.clock.Monotonic());
     status.document_version = documents_.has_value() ? documents_->version : 0;
     const SchedulerLoad load = dispatcher_.load();
     for (const auto& it : ownership_.Pools()) {
@@ -377,11 +388,23 @@
     return status;
   }
 
+  // How much longer than the fastest message of the peer this one took.
+  absl::Duration TimeOnTheWay(Peer& peer, int64_t sent_us) {
+    const absl::Duration difference =
+        env_.clock.Monotonic() - absl::FromUnixMicros(sent_us);
+    peer.clock_difference =
+        std::min(peer.clock_difference.value_or(difference), difference);
+    return difference - *peer.clock_difference;
+  }
+
   void OnStatus(Peer& peer, const PoolStatus& status) {
+    const absl::Time sent =
+        env_.clock.Monotonic() - TimeOnTheWay(peer, status.sent_us);
+    peer.heard = std::max(peer.heard, sent);
     peer.document_version = status.document_version;
     for (const auto& it : status.claims) {
       ownership_.SetPools({it.pool});
-      ownership_.OnClaim(it);
+      ownership_.OnClaim(it, sent);
       router_.OnClaim(it);
     }
   }
@@ -393,7 +416,9 @@
     uint64_t request = 0;
   };
 
-  void OnJob(const std::string& address, const PoolJobRequest& request) {
+  void OnJob(const std::string& address,
+             const PoolJobRequest& request,
+             absl::Duration on_the_way) {
     JobSpec job;
     job.key = request.key;
     job.environment = request.environment;
@@ -419,11 +444,14 @@
     const uint64_t number = next_forwarded_++;
     forwarded_[number] = {address, request.request};
     keys_of_entry_[address][request.key] = number;
-    if (ownership_.OwnedFence(request.pool) == 0 || handing_over_) {
+    const bool stale = on_the_way > kStaleRequest;
+    if (ownership_.OwnedFence(request.pool) == 0 || handing_over_ || stale) {
       JobAnswer answer;
       answer.status = JobStatus::kNotRun;
-      answer.error = {ErrorCode::kNoOwner, Step::kOwnership, "",
-                      "this daemon does not own the pool"};
+      answer.error = {stale ? ErrorCode::kNotReady : ErrorCode::kNoOwner,
+                      Step::kOwnership, "",
+                      stale ? "the request waited for too long on its way"
+                            : "this daemon does not own the pool"};
       answer.retry_after = absl::Milliseconds(200);
       Reply(number, request.key, answer);
       return;
--- a/src/pool_ownership.cc
+++ b/src/pool_ownership.cc
@@ -66,13 +66,13 @@
          clock_.Monotonic() - pool.heard > settings_.silence;
 }
 
-void PoolOwnership::OnClaim(const PoolClaim& claim) {
+void PoolOwnership::OnClaim(const PoolClaim& claim, absl::Time sent) {
   const auto it = pools_.find(claim.pool);
   if (it == pools_.end() || claim.owner == settings_.vm) {
     return;
   }
   if (claim.fence >= it->second.claim.fence) {
-    Adopt(claim.pool, claim, clock_.Monotonic());
+    Adopt(claim.pool, claim, sent);
   }
 }
 
--- a/src/pool_router.cc
+++ b/src/pool_router.cc
@@ -178,6 +178,7 @@
       static_cast<uint32_t>(absl::ToInt64Milliseconds(job.promised));
   request.max_failures = static_cast<uint32_t>(job.tasks.front().max_failures);
   request.document_version = offer->document->version;
+  request.sent_us = absl::ToUnixMicros(clock_.Monotonic());
   forwarded_.Add();
   const std::string address = owner.address;
   if (!transport_.Send(address, request)) {
--- a/tests/pool_fleet.h
+++ b/tests/pool_fleet.h
@@ -248,6 +248,17 @@
   std::map<JobStatus, int> answers;
   Random& random() { return random_; }
 
+  // What happened to the jobs that are not complete.
+  std::string TraceOfIncomplete() const {
+    std::string text;
+    for (const auto& [key, job] : jobs) {
+      if (job.status != JobStatus::kComplete) {
+        text += log.TraceOf(key);
+      }
+    }
+    return text;
+  }
+
   // A refusal after which a task started. Call it at the end.
   void CheckRefusals() {
     for (const auto& [key, job] : jobs) {
@@ -377,7 +388,7 @@
       const RoutedDocument* route =
           daemon.node->FindRoute("host", absl::StrCat("/svc/", key));
       if (route == nullptr) {
-        OnAnswer(key, submission, JobStatus::kNotRun);
+        OnAnswer(key, submission, JobStatus::kNotRun, {});
         return;
       }
       JobSpec spec;
@@ -393,12 +404,16 @@
       }
       daemon.node->Submit(std::move(spec), *route,
                           [this, key, submission](const JobAnswer& answer) {
-                            OnAnswer(key, submission, answer.status);
+                            OnAnswer(key, submission, answer.status,
+                                     answer.error);
                           });
     });
   }
 
-  void OnAnswer(const std::string& key, int submission, JobStatus status) {
+  void OnAnswer(const std::string& key,
+                int submission,
+                JobStatus status,
+                const Error& error) {
     ClientJob& job = jobs[key];
     if (job.status.has_value() || submission != job.submissions) {
       return;
@@ -415,7 +430,8 @@
     job.refused_only = job.refused_only && status == JobStatus::kNotRun;
     log.Note(clock, absl::StrCat(key, " submission ", submission, " at ",
                                  job.entry, ": ",
-                                 static_cast<int>(status)));
+                                 static_cast<int>(status), " ",
+                                 error.ToString()));
     if (status == JobStatus::kFailed) {
       Resubmit(key);
     } else {
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -39,7 +39,7 @@
 TEST_F(PoolFleetTest, CalmFleetCompletesAllJobs) {
   SubmitMany(40, absl::Milliseconds(50));
   fleet_.loop.RunFor(absl::Seconds(2));
-  EXPECT_EQ(Answers(JobStatus::kComplete), 40);
+  EXPECT_EQ(Answers(JobStatus::kComplete), 40) << fleet_.TraceOfIncomplete();
   EXPECT_THAT(fleet_.log.violations, IsEmpty());
 }
 
@@ -293,7 +293,8 @@
   }
   fleet.loop.RunFor(absl::Seconds(3));
   EXPECT_EQ(fleet.answers[JobStatus::kComplete], complete + 10)
-      << "no service after the faults";
+      << "no service after the faults\n"
+      << fleet.TraceOfIncomplete();
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -332,8 +332,13 @@
     ++starts;
     FakeRunner* runner = Find(order.runner.address);
     if (start_delay > absl::ZeroDuration()) {
-      loop_.PostDelayed(start_delay,
-                        [runner, order] { runner->Start(order); });
+      // The order waits in the runner's process and is gone with it.
+      loop_.PostDelayed(start_delay, [runner, order,
+                                      life = runner->incarnation] {
+        if (runner->incarnation == life) {
+          runner->Start(order);
+        }
+      });
       Unanswered(order.timeout, std::move(callback));
       return;
     }
