Test the platform's adapter and the HTTP server's new parts

Cause: the adapter's decoding and the server's checks of clients had no tests of their own. Change: tests of the decoders (12), of store and runner clients against a stand-in (8), and of the HTTP server (3).

--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -268,6 +268,49 @@
   EXPECT_EQ(pending.Wait().status, 503);
 }
 
+// Guards against "not run" answers to requests that may have had effects.
+TEST_F(HttpTest, Stop_WithUnknownOutcomes_AnswersTheStatusOfTheSettings) {
+  settings_.unfinished_status = 502;
+  ServeHeld();
+  auto pending = SendAsync(*client_, Request());
+  WaitForRequest();
+  EXPECT_FALSE(server_->Stop(absl::Milliseconds(20)));
+  EXPECT_EQ(pending.Wait().status, 502);
+}
+
+// Guards against work for clients that have left: libmicrohttpd does not watch
+// the connection of a request that waits.
+TEST_F(HttpTest, Client_LeavesBeforeTheAnswer_HandlerIsTold) {
+  settings_.client_check = absl::Milliseconds(5);
+  Event gone;
+  Serve([&gone, this](HttpRequest request, HttpResponder respond) {
+    respond.OnClientGone([&gone] { gone.Notify(); });
+    const std::lock_guard lock(mutex_);
+    held_.emplace_back(std::move(request), std::move(respond));
+    arrived_.notify_all();
+  });
+  RawConnection connection = RawConnection::To(server_->address());
+  connection.Write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  WaitForRequest();
+  EXPECT_FALSE(gone.HasHappened());
+  connection.Close();
+  gone.Wait();
+}
+
+// Guards against clients that keep sending over open connections until the
+// process ends.
+TEST_F(HttpTest, CloseAfterResponses_NextResponse_ClosesItsConnection) {
+  Serve([](const HttpRequest&, const HttpResponder& respond) {
+    respond(WithBody("done"));
+  });
+  RawConnection connection = RawConnection::To(server_->address());
+  connection.Write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_FALSE(absl::StrContains(connection.ReadUntil("done"), "close"));
+  server_->CloseAfterResponses();
+  connection.Write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_TRUE(absl::StrContains(connection.ReadUntilClosed(), "close"));
+}
+
 TEST_F(HttpTest, Start_OnOccupiedPort_FailsWithAddress) {
   ServeHeld();
   HttpServerSettings settings;
--- /dev/null
+++ b/tests/platform_adapter_test.cc
@@ -0,0 +1,191 @@
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
+#include "gtest/gtest.h"
+#include "radishrail/clock.h"
+#include "radishrail/control_loop.h"
+#include "radishrail/http_server.h"
+#include "runner_client.h"
+#include "socket_test_util.h"
+#include "table_store.h"
+
+namespace radishrail::platform {
+namespace {
+
+// A stand-in that answers each path with a fixed response and keeps what it got.
+class PlatformAdapterTest : public testing::Test {
+ protected:
+  PlatformAdapterTest() {
+    HttpServerSettings settings;
+    settings.request_headers = {"X-Expected-Instance", "If-None-Match"};
+    server_ = std::make_unique<HttpServer>(
+        settings, [this](HttpRequest request, HttpResponder respond) {
+          const std::lock_guard lock(mutex_);
+          HttpResponse response = responses_[request.path];
+          requests_.push_back(std::move(request));
+          response.status == 0 ? respond.CloseConnection()
+                               : respond(std::move(response));
+        });
+    EXPECT_TRUE(server_->Start(nullptr));
+    store_ = std::make_unique<TableStore>(server_->address(), kTestWait,
+                                          client_, metrics_);
+  }
+  ~PlatformAdapterTest() override {
+    client_.Stop();
+    loop_.Stop();
+  }
+
+  void Respond(const std::string& path, int status, std::string body) {
+    const std::lock_guard lock(mutex_);
+    HttpResponse response;
+    response.status = status;
+    response.body = std::move(body);
+    responses_[path] = std::move(response);
+  }
+
+  static std::string Rows(const std::string& rows, int64_t version) {
+    return absl::StrCat(R"({"rows":[)", rows, R"(],"ver":)", version, "}");
+  }
+  static std::string RowOf(const std::string& key, const std::string& value) {
+    return absl::StrCat(R"({"table":"t","key":")", key, R"(","value":")",
+                        absl::Base64Escape(value), R"(","ver":4})");
+  }
+
+  std::pair<std::optional<Store::Changes>, Error> Watch() {
+    Pending<std::pair<std::optional<Store::Changes>, Error>> pending;
+    store_->Watch("t/", 3, absl::ZeroDuration(),
+                  [pending](std::optional<Store::Changes> changes,
+                            Error error) mutable {
+                    pending.Set({std::move(changes), std::move(error)});
+                  });
+    return pending.Wait();
+  }
+
+  TransactionOutcome Transact() {
+    Pending<TransactionOutcome> pending;
+    Transaction transaction;
+    transaction.checks = {{"t/a", 1}};
+    transaction.writes = {{"t/a", "x"}};
+    store_->Transact(std::move(transaction),
+                     [pending](TransactionOutcome outcome, const std::string&,
+                               const Error&) mutable { pending.Set(outcome); });
+    return pending.Wait();
+  }
+
+  SystemClock clock_;
+  Metrics metrics_;
+  ControlLoop loop_;
+  HttpClient client_{HttpClientSettings(), loop_};
+  std::mutex mutex_;
+  std::map<std::string, HttpResponse> responses_;
+  std::vector<HttpRequest> requests_;
+  std::unique_ptr<HttpServer> server_;
+  std::unique_ptr<TableStore> store_;
+};
+
+TEST_F(PlatformAdapterTest, AbsentRowIsReadAsVersionZero) {
+  Respond("/rows-get", 200, Rows(RowOf("ab", "other"), 9));
+  Pending<Row> pending;
+  store_->Read("t/a", [pending](std::optional<Row> row, const Error&) mutable {
+    pending.Set(row.value_or(Row{"failed", "", -1}));
+  });
+  const Row row = pending.Wait();
+  EXPECT_EQ(row.key, "t/a");
+  EXPECT_EQ(row.version, 0);
+  EXPECT_EQ(requests_[0].Query("table"), "t");
+  EXPECT_EQ(requests_[0].Query("from"), "a");
+}
+
+TEST_F(PlatformAdapterTest, WatchPassesChangesAndTheNextVersion) {
+  Respond("/rows-feed", 200, Rows(RowOf("a", "x"), 12));
+  const auto [changes, error] = Watch();
+  ASSERT_TRUE(changes.has_value());
+  EXPECT_EQ(changes->next, 12);
+  EXPECT_EQ(changes->rows[0].value, "x");
+}
+
+// Guards against a watch that goes on after changes were missed.
+TEST_F(PlatformAdapterTest, WatchWithDroppedHistoryReportsNotFound) {
+  Respond("/rows-feed", 410, "");
+  EXPECT_EQ(Watch().second.code, ErrorCode::kNotFound);
+}
+
+// Guards against taking a refused or a lost write for the other.
+TEST_F(PlatformAdapterTest, OutcomeOfAWriteIsTold) {
+  Respond("/rows-tx", 200, R"({"ver":5})");
+  EXPECT_EQ(Transact(), TransactionOutcome::kCommitted);
+  Respond("/rows-tx", 412, Rows(RowOf("a", "y"), 5));
+  EXPECT_EQ(Transact(), TransactionOutcome::kConflict);
+  Respond("/rows-tx", 503, "");
+  EXPECT_EQ(Transact(), TransactionOutcome::kConflict);
+  Respond("/rows-tx", 0, "");
+  EXPECT_EQ(Transact(), TransactionOutcome::kUnknown);
+}
+
+TEST_F(PlatformAdapterTest, ObjectsAreWrittenOnce) {
+  Respond("/blob-put/a", 412, "");
+  Pending<bool> pending;
+  store_->PutObject("a", "body",
+                    [pending](const std::optional<std::string>& body,
+                              const Error&) mutable {
+                      pending.Set(body.has_value());
+                    });
+  EXPECT_TRUE(pending.Wait());
+  EXPECT_EQ(requests_[0].Header("If-None-Match"), "*");
+}
+
+TEST_F(PlatformAdapterTest, StartNamesTheLifeOfTheRunner) {
+  Respond("/run-start", 409, R"({"clockMs":7,"reason":"late"})");
+  RunnerClient runners(clock_, client_);
+  StartOrder order;
+  order.runner = {"i-7", server_->address()};
+  order.job_key = "ab";
+  order.task_id = "0.0.1";
+  order.run = 3;
+  order.timeout = kTestWait;
+  order.send_by = clock_.Monotonic() + kTestWait;
+  Pending<OrderReply> pending;
+  runners.Start(order, [pending](OrderReply reply) mutable {
+    pending.Set(std::move(reply));
+  });
+  EXPECT_EQ(pending.Wait().status, OrderStatus::kLate);
+  EXPECT_EQ(requests_[0].Header("X-Expected-Instance"), "i-7");
+  EXPECT_NE(requests_[0].body.find("ab.0.0.1"), std::string::npos);
+}
+
+// Guards against orders that leave after a pause of the process.
+TEST_F(PlatformAdapterTest, StartPastItsTimeIsNotSent) {
+  RunnerClient runners(clock_, client_);
+  StartOrder order;
+  order.runner = {"i-7", server_->address()};
+  order.timeout = kTestWait;
+  order.send_by = clock_.Monotonic() - absl::Milliseconds(1);
+  Pending<OrderReply> pending;
+  runners.Start(order, [pending](OrderReply reply) mutable {
+    pending.Set(std::move(reply));
+  });
+  EXPECT_EQ(pending.Wait().status, OrderStatus::kNotSent);
+  EXPECT_TRUE(requests_.empty());
+}
+
+TEST_F(PlatformAdapterTest, OrderWithoutAnswerMayHaveBeenCarriedOut) {
+  Respond("/run-stop", 0, "");
+  RunnerClient runners(clock_, client_);
+  StopOrder order;
+  order.runner = {"i-7", server_->address()};
+  order.timeout = kTestWait;
+  Pending<OrderReply> pending;
+  runners.Stop(order, [pending](OrderReply reply) mutable {
+    pending.Set(std::move(reply));
+  });
+  EXPECT_EQ(pending.Wait().status, OrderStatus::kNoAnswer);
+}
+
+}  // namespace
+}  // namespace radishrail::platform
--- /dev/null
+++ b/tests/wire_test.cc
@@ -0,0 +1,196 @@
+#include "wire.h"
+
+#include <string>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
+#include "gmock/gmock.h"
+#include "gtest/gtest.h"
+
+namespace radishrail::platform {
+namespace {
+
+using testing::ElementsAre;
+using testing::HasSubstr;
+using testing::IsEmpty;
+
+class WireTest : public testing::Test {
+ protected:
+  static std::string Job(const std::string& step,
+                         const std::string& fields = "\"bestEffort\":true,") {
+    return absl::StrCat("{", fields, "\"spec\":\"text\",\"steps\":[{", step,
+                        "}]}");
+  }
+  static std::string Entry(const std::string& state) {
+    return absl::StrCat(
+        R"({"service":"svc","address":"10.0.0.1:80","zone":"z1","state":")",
+        state,
+        R"(","capacity":{"cpu":16000,"memMb":32768,"gpu":0},"born":77})");
+  }
+  Error error_;
+};
+
+TEST_F(WireTest, JobOfOneStepIsDecodedIntoTasks) {
+  const auto job = DecodeJob(
+      Job(R"("count":3,"cpu":6800,"memMb":64,"estimateMs":51)"), &error_);
+  ASSERT_TRUE(job.has_value()) << error_.ToString();
+  ASSERT_EQ(job->tasks.size(), 3u);
+  EXPECT_EQ(job->tasks[2].id, "0.0.2");
+  EXPECT_EQ(job->tasks[0].declared_slots, 28);  // of 250 thousandths of a core
+  EXPECT_EQ(job->tasks[0].declared_run, absl::Milliseconds(51));
+  EXPECT_TRUE(job->tasks[0].restartable);
+  EXPECT_EQ(job->payload, "text");
+}
+
+// Guards against running a job with one of its requirements left out.
+TEST_F(WireTest, JobWithARequirementThatIsNotServedIsRefusedWhole) {
+  for (const char* it :
+       {R"("count":1,"gang":true)", R"("count":1,"sameRack":true)",
+        R"("count":1,"allowDuplicates":true)", R"("count":1,"perpetual":true)",
+        R"("count":1,"fills":true)", R"("count":1,"requires":"gpu")",
+        R"("count":1,"antiAffinity":2)", R"("count":1,"mayMiss":1)",
+        R"("count":1,"targetMs":50)"}) {
+    EXPECT_FALSE(DecodeJob(Job(it), &error_).has_value()) << it;
+    EXPECT_EQ(error_.code, ErrorCode::kInfeasible) << it;
+  }
+  EXPECT_FALSE(DecodeJob(Job(R"("count":1)", ""), &error_).has_value());
+  EXPECT_THAT(error_.detail, HasSubstr("stored"));
+}
+
+TEST_F(WireTest, MalformedJobIsInvalid) {
+  for (const char* it : {"", "[]", "{", "{\"steps\":[]}"}) {
+    EXPECT_FALSE(DecodeJob(it, &error_).has_value()) << it;
+    EXPECT_EQ(error_.code, ErrorCode::kInvalidArgument) << it;
+  }
+  EXPECT_FALSE(DecodeJob(Job(R"("count":0)"), &error_).has_value());
+  EXPECT_FALSE(DecodeJob(Job(R"("count":100000)"), &error_).has_value());
+}
+
+TEST_F(WireTest, RunnerEntryIsDecoded) {
+  const auto vm = DecodeRunnerEntry("i-1", Entry("ready"), &error_);
+  ASSERT_TRUE(vm.has_value()) << error_.ToString();
+  EXPECT_EQ(vm->vm, "i-1");
+  EXPECT_EQ(vm->failure_domain, "z1");
+  EXPECT_EQ(vm->upstream_class, "svc");
+  EXPECT_EQ(vm->slots, 64);
+  EXPECT_EQ(vm->incarnation, 77);
+  EXPECT_EQ(vm->state, VmState::kLive);
+  EXPECT_EQ(DecodeRunnerEntry("i-1", Entry("draining"), &error_)->state,
+            VmState::kLeaving);
+}
+
+// Guards against using a runner that another writer's row describes.
+TEST_F(WireTest, SpoiledRunnerEntryIsIgnored) {
+  for (const std::string& it :
+       {std::string("\xff\xfe"), std::string("{}"), Entry("asleep"),
+        std::string(R"({"service":1,"address":"a","zone":"z","state":"ready"})"),
+        std::string(
+            R"({"service":"s","address":"a","zone":"z","state":"ready"})")}) {
+    EXPECT_FALSE(DecodeRunnerEntry("i-1", it, &error_).has_value()) << it;
+  }
+}
+
+TEST_F(WireTest, ConfigIsDecodedWithLongestPrefixFirst) {
+  const auto config = DecodeConfig(
+      R"({"version":7,"routes":[
+        {"name":"a","host":"h","pathPrefix":"/x/","service":"s","attempts":4,
+         "stretch":1.6,"targetLatencyMs":60},
+        {"name":"b","host":"h","pathPrefix":"/x/y/","service":"t"}]})",
+      &error_);
+  ASSERT_TRUE(config.has_value()) << error_.ToString();
+  EXPECT_EQ(config->version, 7);
+  EXPECT_EQ(config->Find("h", "/x/1")->document->document.environment, "a");
+  EXPECT_EQ(config->Find("h", "/x/y/1")->document->document.environment, "b");
+  EXPECT_EQ(config->Find("h", "/z/1"), nullptr);
+  EXPECT_EQ(config->Find("other", "/x/1"), nullptr);
+  EXPECT_EQ(config->Find("h", "/x/1")->max_failures, 4);
+  EXPECT_EQ(config->Find("h", "/x/1")->base, absl::Milliseconds(60));
+}
+
+TEST_F(WireTest, OrderRepliesAreDecoded) {
+  EXPECT_EQ(DecodeOrderReply(200, R"({"clockMs":5})").status,
+            OrderStatus::kDone);
+  EXPECT_EQ(DecodeOrderReply(200, R"({"clockMs":5})").clock_ms, 5);
+  EXPECT_EQ(DecodeOrderReply(409, R"({"reason":"fence"})").status,
+            OrderStatus::kFenced);
+  EXPECT_EQ(DecodeOrderReply(409, R"({"reason":"old"})").status,
+            OrderStatus::kStale);
+  EXPECT_EQ(DecodeOrderReply(409, R"({"reason":"late"})").status,
+            OrderStatus::kLate);
+  EXPECT_EQ(DecodeOrderReply(409, R"({"reason":"room"})").status,
+            OrderStatus::kNoRoom);
+  EXPECT_EQ(DecodeOrderReply(421, "").status, OrderStatus::kOtherLife);
+  EXPECT_EQ(DecodeOrderReply(503, "").status, OrderStatus::kUnhealthy);
+  EXPECT_EQ(DecodeOrderReply(400, "").status, OrderStatus::kInvalid);
+}
+
+TEST_F(WireTest, ListsOfRunsAreDecoded) {
+  const HoldReply reply = DecodeHoldReply(
+      200,
+      R"({"clockMs":9,"born":3,"running":[["ab.0.1.7",2,"",41,6800],["x",1]],
+          "endedRuns":[[58,"ab.0.1.9",1,"done",""],[59,"ab.0.1.8",3,"lapsed",""]]})");
+  EXPECT_EQ(reply.order.status, OrderStatus::kDone);
+  EXPECT_EQ(reply.incarnation, 3);
+  ASSERT_EQ(reply.active.size(), 1u);
+  EXPECT_EQ(reply.active[0].job_key, "ab");
+  EXPECT_EQ(reply.active[0].task_id, "0.1.7");
+  ASSERT_EQ(reply.ended.size(), 2u);
+  EXPECT_EQ(reply.ended[0].end, RunEnd::kDone);
+  EXPECT_EQ(reply.ended[1].end, RunEnd::kLapsed);
+  EXPECT_EQ(reply.ended[1].number, 59u);
+}
+
+// Guards against taking an answer without lists for "nothing runs".
+TEST_F(WireTest, AnswerWithoutListsIsInvalid) {
+  EXPECT_EQ(DecodeHoldReply(200, R"({"clockMs":9})").order.status,
+            OrderStatus::kInvalid);
+  EXPECT_EQ(DecodeHoldReply(200, "garbage").order.status,
+            OrderStatus::kInvalid);
+}
+
+TEST_F(WireTest, RowsAreDecodedWithDeletions) {
+  const auto rows = DecodeRows(
+      absl::StrCat(R"({"rows":[{"table":"t","key":"a","value":")",
+                   absl::Base64Escape("body"), R"(","ver":4},)",
+                   R"({"table":"t","key":"b","tombstone":true,"ver":5}],)",
+                   R"("ver":9,"truncated":true})"),
+      &error_);
+  ASSERT_TRUE(rows.has_value()) << error_.ToString();
+  EXPECT_EQ(rows->version, 9);
+  EXPECT_TRUE(rows->truncated);
+  ASSERT_EQ(rows->rows.size(), 2u);
+  EXPECT_EQ(rows->rows[0].key, "t/a");
+  EXPECT_EQ(rows->rows[0].value, "body");
+  EXPECT_EQ(rows->rows[1].version, 0);
+}
+
+TEST_F(WireTest, TransactionNamesTheRowThatDidNotMatch) {
+  Transaction transaction;
+  transaction.checks = {{"t/a", 4}, {"t/b", 5}};
+  transaction.writes = {{"t/a", "x"}, {"t/b", std::nullopt}};
+  EXPECT_THAT(EncodeTransaction(transaction), HasSubstr("\"remove\":[{"));
+  EXPECT_EQ(DecodeConflict(
+                R"({"rows":[{"table":"t","key":"a","value":"","ver":4},
+                            {"table":"t","key":"b","value":"","ver":6}]})",
+                transaction),
+            "t/b");
+}
+
+// Decoders meet bytes of other writers; none may crash or throw.
+TEST_F(WireTest, AlteredMessagesAreDecodedOrRefused) {
+  const std::string body = Job(R"("count":3,"cpu":6800,"memMb":64)");
+  for (size_t i = 0; i < body.size(); ++i) {
+    for (const char c : {'\0', '"', '{', '9', '\xff'}) {
+      std::string altered = body;
+      altered[i] = c;
+      DecodeJob(altered, nullptr);
+      DecodeConfig(altered, nullptr);
+      DecodeRows(altered, nullptr);
+      DecodeHoldReply(200, altered);
+      DecodeRunnerEntry("i", altered, nullptr);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace radishrail::platform
