Return pools to their failure domain; claim none right after a partition

Ruled out: the power failure 1.6 s later (the refusals began before it). Change: the time without answers of the store does not count as silence of others; a pool of another failure domain is given back when a daemon of that domain lives. One log line for each decision that touches a request, with a budget a second for each kind, and the history of requests that end badly; lines go to standard output through a bounded queue and a thread.

--- a/include/radishrail/leased_upstream_client.h
+++ b/include/radishrail/leased_upstream_client.h
@@ -50,6 +50,7 @@
   struct OwnedRunner {
     VmInfo info;
     uint64_t fence = 0;
+    bool accepting = true;  // false: its pool is about to be released
   };
   void SetRunners(const std::vector<OwnedRunner>& runners);
 
--- a/include/radishrail/pool_ownership.h
+++ b/include/radishrail/pool_ownership.h
@@ -52,8 +52,13 @@
   void OnPeerDisconnected(const std::string& address);
   // A runner of the pool obeys a higher fence.
   void OnFenced(const std::string& pool);
-  // Gives up all pools and claims none any more.
-  void Release();
+  // An owned pool takes no new jobs any more; it is about to be released.
+  void StopAccepting(const std::string& pool);
+  // Gives up an owned pool; another daemon may claim it at once. Returns the
+  // claim to tell the peers.
+  PoolClaim Release(const std::string& pool);
+  // Claims no pool any more.
+  void Retire() { retired_ = true; }
   // Claims pools without a living owner; returns the time of the next call.
   absl::Time Tick();
 
@@ -73,6 +78,7 @@
   };
 
   bool Silent(const Pool& pool) const;
+  bool WasCutOff(const std::string& name) const;
   absl::Time ClaimDue(const std::string& name, const Pool& pool) const;
   void TryClaim(const std::string& name);
   void OnRow(const std::string& name, const Row& row);
@@ -86,7 +92,9 @@
   Store& store_;
   const ChangeCallback on_change_;
   std::map<std::string, Pool> pools_;
-  bool released_ = false;
+  bool retired_ = false;
+  // Since when the store has answered; infinite while it does not.
+  absl::Time store_since_ = absl::InfinitePast();
 };
 
 }  // namespace radishrail
--- a/include/radishrail/pool_router.h
+++ b/include/radishrail/pool_router.h
@@ -13,6 +13,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "radishrail/clock.h"
+#include "radishrail/decision_log.h"
 #include "radishrail/job.h"
 #include "radishrail/metrics.h"
 #include "radishrail/peer_message.h"
@@ -43,7 +44,8 @@
              PeerTransport& transport,
              const PoolOwnership& ownership,
              LocalSubmit local,
-             Metrics& metrics);
+             Metrics& metrics,
+             DecisionLog& log);
 
   // `callback` runs exactly once, unless the job is abandoned before.
   void Submit(JobSpec job,
@@ -86,11 +88,13 @@
     int slots = 0;
     int busy = 0;  // with the jobs handed over since the last claim
     absl::Duration backlog;
+    absl::Time reported;
   };
 
   // The pool with the least expected waiting that was not tried yet.
   std::optional<std::string> Choose(const Offer& offer) const;
   void MakeOffer(const OfferPointer& offer);
+  void Answer(const OfferPointer& offer, const JobAnswer& answer);
   void Forward(const PoolClaim& owner, const OfferPointer& offer);
   // Offers a job that did not run to another pool, or answers.
   void OnAnswer(const OfferPointer& offer, const JobAnswer& answer);
@@ -106,6 +110,7 @@
   Counter& unknown_;
   Counter& no_owner_;
   Counter& offered_again_;
+  DecisionLog& log_;
   uint64_t next_request_;
   std::map<uint64_t, Pending> pending_;
   absl::flat_hash_map<std::string, PoolLoad> loads_;
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -39,6 +39,7 @@
   Error error;
   if (!daemon.Start(&error)) {
     LogFailure("the daemon cannot start", error);
+    StopLogging();
     return kExitFailed;
   }
   // An operator can start the drain over HTTP as well; it ends the process in
@@ -58,6 +59,7 @@
   }
   daemon.Stop(AnyDaemon::kStopTimeout);
   Log(LogLevel::kInfo, "stopped");
+  StopLogging();
   return kExitOk;
 }
 
--- a/src/pool_dispatcher.cc
+++ b/src/pool_dispatcher.cc
@@ -93,7 +93,7 @@
   std::vector<VmInfo> usable;
   usable.reserve(runners_.size());
   for (const auto& it : runners_) {
-    if (client_.Usable(it.info.vm)) {
+    if (it.accepting && client_.Usable(it.info.vm)) {
       usable.push_back(it.info);
     }
   }
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -9,6 +9,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
+#include "radishrail/decision_log.h"
 #include "radishrail/job_answers.h"
 #include "radishrail/log.h"
 #include "radishrail/pool_dispatcher.h"
@@ -41,6 +42,8 @@
 constexpr absl::Duration kCancelWait = absl::Milliseconds(400);
 // Another daemon takes the request at once.
 constexpr absl::Duration kDrainRetry = absl::Milliseconds(100);
+// Most jobs of a pool that takes no more have ended after this time.
+constexpr absl::Duration kReturnDelay = absl::Milliseconds(1500);
 constexpr absl::Duration kPullInterval = absl::Milliseconds(400);
 
 std::string EncodeMember(const MemberRecord& member) {
@@ -96,6 +99,7 @@
         codec_(std::move(codec)),
         incarnation_(incarnation),
         env_(env),
+        log_(env.clock, env.metrics),
         ownership_({settings.vm, settings.failure_domain,
                     settings.peer_address},
                    env.clock,
@@ -122,10 +126,11 @@
                 [this](JobSpec job,
                        std::shared_ptr<const VersionedDocument> document,
                        AnswerCallback callback) {
-                  dispatcher_.Submit(std::move(job), std::move(document),
-                                     std::move(callback));
+                  Dispatch("this daemon", std::move(job), std::move(document),
+                           std::move(callback));
                 },
-                env.metrics),
+                env.metrics,
+                log_),
         runner_watcher_(codec_.runner_prefix,
                         settings.watch_wait,
                         env.store,
@@ -167,6 +172,7 @@
     ExpireCancels(now);
     SendStatus(now);
     PullDocuments(now);
+    ReturnPools(now);
     AdvanceDrain(now);
     due = std::min(due, dispatcher_.Tick());
     return std::min(due, now + kStatusInterval / 2);
@@ -378,7 +384,7 @@
       claim.fence = fence;
       claim.owner = settings_.vm;
       claim.address = settings_.peer_address;
-      claim.accepting = !handing_over_;
+      claim.accepting = !handing_over_ && !returning_.contains(it);
       claim.slots = static_cast<uint32_t>(std::max(load.slots, 0));
       claim.busy_slots = static_cast<uint32_t>(std::max(load.busy_slots, 0));
       claim.backlog_ms =
@@ -457,11 +463,54 @@
       return;
     }
     auto document = std::make_shared<VersionedDocument>(DocumentOf(request));
-    dispatcher_.Submit(std::move(job), std::move(document),
-                       [this, number, key = request.key](
-                           const JobAnswer& answer) {
-                         Reply(number, key, answer);
-                       });
+    Dispatch(address, std::move(job), std::move(document),
+             [this, number, key = request.key](const JobAnswer& answer) {
+               Reply(number, key, answer);
+             });
+  }
+
+  // Dispatches a job in this daemon's pools and logs how it ends.
+  void Dispatch(const std::string& entry,
+                JobSpec job,
+                std::shared_ptr<const VersionedDocument> document,
+                AnswerCallback callback) {
+    const SchedulerLoad load = dispatcher_.load();
+    log_.Write(Decision::kJobAdmitted, job.key, "queued",
+               {{"entry", entry},
+                {"tasks", absl::StrCat(job.tasks.size())},
+                {"environment", job.environment},
+                {"promised_ms",
+                 absl::StrCat(absl::ToInt64Milliseconds(job.promised))},
+                {"busy_slots", absl::StrCat(load.busy_slots)},
+                {"slots", absl::StrCat(load.slots)},
+                {"backlog_ms",
+                 absl::StrCat(absl::ToInt64Milliseconds(load.backlog))}});
+    const absl::Time accepted = env_.clock.Monotonic();
+    const absl::Duration promised = job.promised;
+    dispatcher_.Submit(
+        std::move(job), std::move(document),
+        [this, accepted, promised, callback = std::move(callback)](
+            const JobAnswer& answer) {
+          LogEnd(answer, env_.clock.Monotonic() - accepted, promised);
+          callback(answer);
+        });
+  }
+
+  void LogEnd(const JobAnswer& answer,
+              absl::Duration took,
+              absl::Duration promised) {
+    const bool bad = answer.status == JobStatus::kFailed || took > promised;
+    log_.Write(answer.status == JobStatus::kNotRun ? Decision::kJobNotAdmitted
+                                                   : Decision::kJobEnded,
+               answer.key, JobStatusName(answer.status),
+               {{"took_ms", absl::StrCat(absl::ToInt64Milliseconds(took))},
+                {"promised_ms",
+                 absl::StrCat(absl::ToInt64Milliseconds(promised))},
+                {"error", std::string(ErrorCodeName(answer.error.code))},
+                {"detail", answer.error.detail}});
+    if (bad) {
+      log_.WriteHistory(answer.key, env_.timeline);
+    }
   }
 
   // The entry daemon decided under its version of the configuration; the owner
@@ -618,7 +667,8 @@
       pools.insert(runner.info.failure_domain);
       const uint64_t fence = ownership_.OwnedFence(runner.info.failure_domain);
       if (fence != 0) {
-        owned.push_back({runner.info, fence});
+        owned.push_back({runner.info, fence,
+                         !returning_.contains(runner.info.failure_domain)});
       }
     }
     ownership_.SetPools({pools.begin(), pools.end()});
@@ -718,22 +768,57 @@
   }
 
   void ReleasePools() {
-    PoolStatus status = MakeStatus();
-    for (auto& it : status.claims) {
-      it.owner.clear();
-      it.address.clear();
-      it.accepting = false;
+    ownership_.Retire();
+    for (const auto& it : ownership_.Pools()) {
+      if (ownership_.OwnedFence(it) != 0) {
+        ReleasePool(it);
+      }
     }
-    ownership_.Release();
+  }
+
+  void ReleasePool(const std::string& pool) {
+    PoolStatus status = MakeStatus();
+    status.claims = {ownership_.Release(pool)};
     for (const auto& [address, peer] : peers_) {
       env_.transport.Send(address, status);
     }
   }
 
+  // Another failure domain's pool goes back when a daemon of that domain lives:
+  // first it takes no more jobs, then it is released.
+  void ReturnPools(absl::Time now) {
+    for (const auto& it : ownership_.Pools()) {
+      const bool foreign =
+          it != settings_.failure_domain && ownership_.OwnedFence(it) != 0;
+      if (!foreign || !HasLivingPeerIn(it, now)) {
+        returning_.erase(it);
+        continue;
+      }
+      const auto [entry, begun] =
+          returning_.try_emplace(it, now + kReturnDelay);
+      if (begun) {
+        ownership_.StopAccepting(it);
+        OnOwnershipChanged();
+      } else if (entry->second <= now) {
+        returning_.erase(entry);
+        ReleasePool(it);
+      }
+    }
+  }
+
+  bool HasLivingPeerIn(const std::string& failure_domain,
+                       absl::Time now) const {
+    return std::any_of(peers_.begin(), peers_.end(), [&](const auto& it) {
+      return it.second.record.failure_domain == failure_domain &&
+             now - it.second.heard < kReturnDelay;
+    });
+  }
+
   const PoolNodeSettings settings_;
   const PoolNodeCodec codec_;
   const uint64_t incarnation_;
   const PoolNodeEnvironment env_;
+  DecisionLog log_;
   PoolOwnership ownership_;
   PoolDispatcher dispatcher_;
   PoolRouter router_;
@@ -752,6 +837,8 @@
   absl::Time next_pull_ = absl::InfinitePast();
   std::optional<absl::Time> drain_started_;
   bool handing_over_ = false;
+  // Pools that go back to their failure domain, with the time of release.
+  std::map<std::string, absl::Time> returning_;
   bool drained_ = false;
 };
 
--- a/src/pool_ownership.cc
+++ b/src/pool_ownership.cc
@@ -98,18 +98,25 @@
   on_change_(name);
 }
 
-void PoolOwnership::Release() {
-  released_ = true;
-  for (auto& [name, pool] : pools_) {
-    if (OwnedFence(name) == 0) {
-      continue;
-    }
-    Log(LogLevel::kInfo, "pool released", {{"pool", name}});
-    pool.claim.owner.clear();
-    on_change_(name);
+void PoolOwnership::StopAccepting(const std::string& pool) {
+  if (OwnedFence(pool) != 0) {
+    pools_[pool].claim.accepting = false;
   }
 }
 
+PoolClaim PoolOwnership::Release(const std::string& name) {
+  Pool& pool = pools_[name];
+  Log(LogLevel::kInfo, "pool released",
+      {{"pool", name}, {"fence", absl::StrCat(pool.claim.fence)}});
+  pool.claim.owner.clear();
+  pool.claim.address.clear();
+  pool.claim.accepting = false;
+  pool.heard = clock_.Monotonic();
+  const PoolClaim claim = pool.claim;
+  on_change_(name);
+  return claim;
+}
+
 uint64_t PoolOwnership::OwnedFence(const std::string& pool) const {
   const auto it = pools_.find(pool);
   return it != pools_.end() && it->second.claim.owner == settings_.vm
@@ -146,9 +153,18 @@
                                     : settings_.foreign_delay));
 }
 
+// A daemon that was cut off itself has heard nobody; once it is back, living
+// owners get the time for a sign of life.
+bool PoolOwnership::WasCutOff(const std::string& name) const {
+  const bool home = name == settings_.failure_domain;
+  return clock_.Monotonic() - store_since_ <
+         (home ? settings_.silence
+               : settings_.silence + settings_.foreign_delay);
+}
+
 absl::Time PoolOwnership::Tick() {
   absl::Time due = absl::InfiniteFuture();
-  if (released_) {
+  if (retired_) {
     return due;
   }
   const absl::Time now = clock_.Monotonic();
@@ -174,6 +190,14 @@
     if (!row.has_value()) {
       Log(LogLevel::kWarning, "the row of a pool was not read",
           {{"pool", name}, {"detail", error.ToString()}});
+      store_since_ = absl::InfiniteFuture();
+      Retry(pool);
+      return;
+    }
+    if (store_since_ == absl::InfiniteFuture()) {
+      store_since_ = clock_.Monotonic();
+    }
+    if (WasCutOff(name)) {
       Retry(pool);
       return;
     }
@@ -229,7 +253,7 @@
                           const Error& error) {
         Pool& pool = pools_[name];
         pool.pending = false;
-        if (outcome != TransactionOutcome::kCommitted || released_ ||
+        if (outcome != TransactionOutcome::kCommitted || retired_ ||
             pool.claim.fence >= claim.fence) {
           // The row is read again; it shows whether a write without an answer
           // was carried out.
--- a/src/pool_router.cc
+++ b/src/pool_router.cc
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "radishrail/job_answers.h"
 
 namespace radishrail {
@@ -54,7 +56,8 @@
                        PeerTransport& transport,
                        const PoolOwnership& ownership,
                        LocalSubmit local,
-                       Metrics& metrics)
+                       Metrics& metrics,
+                       DecisionLog& log)
     : vm_(std::move(vm)),
       failure_domain_(std::move(failure_domain)),
       clock_(clock),
@@ -70,12 +73,14 @@
       offered_again_(
           metrics.counter("radishrail_pool_jobs_offered_again_total",
                           "Jobs that a pool refused, offered to another")),
+      log_(log),
       next_request_(first_request) {}
 
 void PoolRouter::OnClaim(const PoolClaim& claim) {
   loads_[claim.pool] = {static_cast<int>(claim.slots),
                         static_cast<int>(claim.busy_slots),
-                        absl::Milliseconds(claim.backlog_ms)};
+                        absl::Milliseconds(claim.backlog_ms),
+                        clock_.Monotonic()};
 }
 
 std::optional<std::string> PoolRouter::Choose(const Offer& offer) const {
@@ -133,14 +138,27 @@
   const auto pool = Choose(*offer);
   if (!pool.has_value()) {
     no_owner_.Add();
-    offer->callback(NotRunAnswer(offer->job,
-                                 {ErrorCode::kNoOwner, Step::kOwnership, "",
-                                  "no pool has a living owner"},
-                                 kNoOwnerRetry, TaskErrors::kOmitted));
+    Answer(offer, NotRunAnswer(offer->job,
+                               {ErrorCode::kNoOwner, Step::kOwnership, "",
+                                "no pool has a living owner"},
+                               kNoOwnerRetry, TaskErrors::kOmitted));
     return;
   }
   offer->tried.push_back(*pool);
-  loads_[*pool].busy += offer->slots;
+  PoolLoad& load = loads_[*pool];
+  log_.Write(
+      offer->tried.size() > 1 ? Decision::kJobOfferedAgain
+                              : Decision::kJobOffered,
+      offer->job.key, *pool,
+      {{"owner", ownership_.Owner(*pool)->owner},
+       {"slots_wanted", absl::StrCat(offer->slots)},
+       {"slots", absl::StrCat(load.slots)},
+       {"busy_slots", absl::StrCat(load.busy)},
+       {"backlog_ms", absl::StrCat(absl::ToInt64Milliseconds(load.backlog))},
+       {"load_age_ms", absl::StrCat(absl::ToInt64Milliseconds(
+                           clock_.Monotonic() - load.reported))},
+       {"config_version", absl::StrCat(offer->document->version)}});
+  load.busy += offer->slots;
   offer->job.deadline = offer->deadline - clock_.Monotonic();
   if (ownership_.OwnedFence(*pool) != 0) {
     local_(offer->job, offer->document,
@@ -155,13 +173,25 @@
                          offer->tried.size() < kMaxOffers &&
                          Choose(*offer).has_value();
   if (!elsewhere) {
-    offer->callback(answer);
+    Answer(offer, answer);
     return;
   }
   offered_again_.Add();
   MakeOffer(offer);
 }
 
+void PoolRouter::Answer(const OfferPointer& offer, const JobAnswer& answer) {
+  if (answer.status == JobStatus::kNotRun) {
+    log_.Write(Decision::kJobRefused, offer->job.key,
+               ErrorCodeName(answer.error.code),
+               {{"pools_tried", absl::StrJoin(offer->tried, ",")},
+                {"detail", answer.error.detail},
+                {"retry_after_ms", absl::StrCat(absl::ToInt64Milliseconds(
+                                       answer.retry_after))}});
+  }
+  offer->callback(answer);
+}
+
 void PoolRouter::Forward(const PoolClaim& owner, const OfferPointer& offer) {
   const JobSpec& job = offer->job;
   PoolJobRequest request;
@@ -208,6 +238,7 @@
   PoolLoad& load = loads_[pending.pool];
   load.busy = static_cast<int>(reply.busy_slots);
   load.backlog = absl::Milliseconds(reply.backlog_ms);
+  load.reported = clock_.Monotonic();
   OnAnswer(pending.offer, answer);
 }
 
@@ -227,11 +258,17 @@
   answer.key = key;
   answer.status = JobStatus::kFailed;
   answer.error = {code, Step::kForward, pending.address, reason};
+  log_.Write(Decision::kJobUnknown, key, ErrorCodeName(code),
+             {{"pool", pending.pool},
+              {"owner", pending.address},
+              {"fence", absl::StrCat(pending.fence)},
+              {"detail", reason}});
   pending.offer->callback(answer);
 }
 
 void PoolRouter::Abandon(std::string_view key,
                          const std::function<void()>& end_local) {
+  log_.Write(Decision::kJobAbandoned, key, "the client has left");
   for (auto it = pending_.begin(); it != pending_.end(); ++it) {
     if (it->second.offer->job.key == key) {
       transport_.Send(it->second.address, PoolJobCancel{0, std::string(key)});
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -103,6 +103,35 @@
   EXPECT_THAT(fleet_.log.violations, IsEmpty());
 }
 
+// Guards against a daemon that, back from a partition in which it heard nobody,
+// takes the pools of living owners and with them their jobs.
+TEST_F(PoolFleetTest, DomainBackFromIsolationTakesNoPoolsOfLivingOwners) {
+  fleet_.Isolate("d1");
+  fleet_.loop.RunFor(absl::Seconds(2));
+  const auto claims = [this](const std::string& pool) {
+    return fleet_.rows.rows[absl::StrCat("pools/", pool)].version;
+  };
+  const int64_t before = claims("d2");
+  fleet_.loop.RunFor(absl::Seconds(4));
+  fleet_.Heal();
+  fleet_.loop.RunFor(absl::Seconds(8));
+  EXPECT_EQ(claims("d2"), before);
+}
+
+// Guards against pools that stay with another failure domain for good.
+TEST_F(PoolFleetTest, PoolReturnsToItsDomainWhenADaemonOfItLives) {
+  fleet_.Kill("d1n0");
+  fleet_.Kill("d1n1");
+  fleet_.loop.RunFor(absl::Seconds(6));
+  fleet_.StartDaemon("d1n1");
+  fleet_.loop.RunFor(absl::Seconds(6));
+  fleet_.Kill("d2n0");
+  fleet_.Kill("d2n1");
+  fleet_.Submit("d1n1", 2);
+  fleet_.loop.RunFor(absl::Seconds(1));
+  EXPECT_EQ(Answers(JobStatus::kComplete), 1);
+}
+
 // Guards against work on a runner that leaves.
 TEST_F(PoolFleetTest, DrainingRunnerGetsNoNewTasks) {
   for (const auto& it : fleet_.RunnerNames()) {
