--- a/include/radishrail/http_server.h
+++ b/include/radishrail/http_server.h
@@ -102,8 +102,8 @@
 
   // Closes the listening socket, finishes requests in progress and closes all
   // connections. Requests that are not answered within `timeout` get the status
-  // of the settings. Returns true if there were none of these. Must not be called on a
-  // thread of the server.
+  // of the settings. Returns true if there were none of these. Must not be
+  // called on a thread of the server.
   bool Stop(absl::Duration timeout);
 
  private:
--- a/include/radishrail/pool_router.h
+++ b/include/radishrail/pool_router.h
@@ -24,8 +24,8 @@
 namespace radishrail {
 
 // The entry daemon's side: chooses the pool of each job, hands the job to the
-// pool's owner and matches the answer. A job that an owner refused as not run is
-// offered to other pools. If the owner falls silent, the caller is told that
+// pool's owner and matches the answer. A job that an owner refused as not run
+// is offered to other pools. If the owner falls silent, the caller is told that
 // the outcome is unknown, and the owner is told to end the job.
 // Single-threaded.
 class PoolRouter {
--- a/include/radishrail/scheduler.h
+++ b/include/radishrail/scheduler.h
@@ -63,8 +63,8 @@
 };
 
 struct SchedulerLoad {
-  int slots = 0;       // of accepting upstreams
-  int busy_slots = 0;  // occupied by placed tasks
+  int slots = 0;                                  // of accepting upstreams
+  int busy_slots = 0;                             // occupied by placed tasks
   absl::Duration backlog = absl::ZeroDuration();  // queued work per capacity
 };
 
--- a/include/radishrail/store.h
+++ b/include/radishrail/store.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -95,8 +96,7 @@
   // All rows whose key begins with `prefix` as of one moment.
   virtual void Snapshot(const std::string& prefix, WatchCallback callback) {
     static_cast<void>(prefix);
-    callback(std::nullopt, {ErrorCode::kInfeasible, Step::kPlatformRead, "",
-                            "the store reports no changes"});
+    ReportNoChanges(std::move(callback));
   }
   // Waits until a row whose key begins with `prefix` changes after `version`,
   // at most `wait`, and passes the changed rows. The error code `kNotFound`
@@ -109,8 +109,14 @@
     static_cast<void>(prefix);
     static_cast<void>(version);
     static_cast<void>(wait);
-    callback(std::nullopt, {ErrorCode::kInfeasible, Step::kPlatformRead, "",
-                            "the store reports no changes"});
+    ReportNoChanges(std::move(callback));
+  }
+
+ private:
+  static void ReportNoChanges(WatchCallback&& callback) {
+    const WatchCallback report = std::move(callback);
+    report(std::nullopt, {ErrorCode::kInfeasible, Step::kPlatformRead, "",
+                          "the store reports no changes"});
   }
 };
 
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -86,6 +86,7 @@
 void AddFleetCommands(CLI::App& app, Invocation& invocation);
 void AddTimelineCommand(CLI::App& app, Invocation& invocation);
 void AddConfigCommands(CLI::App& app, Invocation& invocation);
+void AddExplainCommand(CLI::App& app, Invocation& invocation);
 
 }  // namespace radishrail::cli
 
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -31,6 +31,7 @@
   radishrail::cli::AddFleetCommands(app, invocation);
   radishrail::cli::AddTimelineCommand(app, invocation);
   radishrail::cli::AddConfigCommands(app, invocation);
+  radishrail::cli::AddExplainCommand(app, invocation);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& ec) {
--- a/src/decision_log.cc
+++ b/src/decision_log.cc
@@ -12,9 +12,9 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> kNames = {
-    "job_offered",   "job_offered_again", "job_refused",
-    "job_unknown",   "job_abandoned",     "job_admitted",
-    "job_not_admitted", "job_ended",      "job_history"};
+    "job_offered",      "job_offered_again", "job_refused",
+    "job_unknown",      "job_abandoned",     "job_admitted",
+    "job_not_admitted", "job_ended",         "job_history"};
 
 }  // namespace
 
@@ -25,8 +25,7 @@
 DecisionLog::DecisionLog(const Clock& clock, Metrics& metrics)
     : clock_(clock),
       left_out_(metrics.counter("radishrail_log_lines_left_out_total",
-                                "Log lines beyond the budget of their kind")) {
-}
+                                "Log lines beyond the budget of their kind")) {}
 
 bool DecisionLog::Spend(Decision decision) {
   Budget& budget = budgets_[static_cast<size_t>(decision)];
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -671,8 +671,7 @@
         record->receiving = false;
       }
     }
-    if (settings_.client_check > absl::ZeroDuration() &&
-        HasLeft(connection)) {
+    if (settings_.client_check > absl::ZeroDuration() && HasLeft(connection)) {
       // After a pause of the process, requests of clients that have long gone
       // elsewhere are still in the buffers.
       return MHD_NO;
--- a/src/job.cc
+++ b/src/job.cc
@@ -21,9 +21,9 @@
 }  // namespace
 
 int SlotsNeeded(const Room& room) {
-  return static_cast<int>(std::max<int64_t>(
-      {1, DivideUp(room.cpu_millis, kCpuMillisPerSlot),
-       DivideUp(room.memory_mb, kMemoryMbPerSlot)}));
+  return static_cast<int>(
+      std::max<int64_t>({1, DivideUp(room.cpu_millis, kCpuMillisPerSlot),
+                         DivideUp(room.memory_mb, kMemoryMbPerSlot)}));
 }
 
 int SlotsOffered(const Room& room) {
--- a/src/leased_upstream_client.cc
+++ b/src/leased_upstream_client.cc
@@ -181,7 +181,9 @@
               TaskOutcome outcome,
               ErrorCode code,
               const char* reason);
-  void Finish(const RunnerPointer& runner, const RunKey& key, TaskResult result);
+  void Finish(const RunnerPointer& runner,
+              const RunKey& key,
+              TaskResult result);
   void SetClean(const RunnerPointer& runner, bool clean);
   void TickRunner(const RunnerPointer& runner, absl::Time now);
   absl::Time LapsesAt(const Runner& runner, const Run& run) const;
@@ -257,16 +259,15 @@
 
 int64_t LeasedUpstreamClient::Impl::ClockMs(const Runner& runner) const {
   const absl::Duration passed = Now() - runner.clock_received;
-  return runner.clock_ms + static_cast<int64_t>(
-                               absl::ToDoubleMilliseconds(passed) *
-                               (1 - kClockTolerance));
+  return runner.clock_ms +
+         static_cast<int64_t>(absl::ToDoubleMilliseconds(passed) *
+                              (1 - kClockTolerance));
 }
 
 int64_t LeasedUpstreamClient::Impl::LeaseUntil(Runner& runner,
                                                absl::Duration lease) {
-  const int64_t until =
-      ClockMs(runner) + absl::ToInt64Milliseconds(
-                            std::min(lease, settings_.max_lease));
+  const int64_t until = ClockMs(runner) + absl::ToInt64Milliseconds(std::min(
+                                              lease, settings_.max_lease));
   runner.lease_until_ms = std::max(runner.lease_until_ms, until);
   return until;
 }
@@ -275,8 +276,7 @@
   const int64_t left =
       std::max<int64_t>(0, runner.lease_until_ms - runner.clock_ms);
   return runner.clock_received +
-         absl::Milliseconds(left) / (1 - kClockTolerance) +
-         settings_.stop_time;
+         absl::Milliseconds(left) / (1 - kClockTolerance) + settings_.stop_time;
 }
 
 void LeasedUpstreamClient::Impl::Start(TaskStart start, Callback callback) {
@@ -287,9 +287,9 @@
     return;
   }
   const absl::Time now = Now();
-  const absl::Duration expected =
-      start.expected_run > absl::ZeroDuration() ? start.expected_run
-                                                : settings_.max_lease;
+  const absl::Duration expected = start.expected_run > absl::ZeroDuration()
+                                      ? start.expected_run
+                                      : settings_.max_lease;
   const RunKey key{start.job_key, start.task_id,
                    static_cast<uint32_t>(start.attempt)};
   Run run;
@@ -414,29 +414,28 @@
                                           Run& run) {
   run.stop_pending = true;
   stops_.Add();
-  transport_.Stop(
-      {{runner->info.vm, runner->info.address},
-       key.job_key,
-       key.task_id,
-       key.run,
-       runner->fence,
-       settings_.order_timeout},
-      [this, runner, key](const OrderReply& reply) {
-        const auto it = runner->runs.find(key);
-        if (it == runner->runs.end()) {
-          return;
-        }
-        Run& stopped = it->second;
-        stopped.stop_pending = false;
-        if (reply.status == OrderStatus::kDone) {
-          stopped.stop_done = true;
-          stopped.listed_after = Now() + settings_.stop_time;
-          runner->next_hold =
-              std::min(runner->next_hold, stopped.listed_after);
-        } else {
-          stopped.next_stop = Now() + kStopRetry;
-        }
-      });
+  transport_.Stop({{runner->info.vm, runner->info.address},
+                   key.job_key,
+                   key.task_id,
+                   key.run,
+                   runner->fence,
+                   settings_.order_timeout},
+                  [this, runner, key](const OrderReply& reply) {
+                    const auto it = runner->runs.find(key);
+                    if (it == runner->runs.end()) {
+                      return;
+                    }
+                    Run& stopped = it->second;
+                    stopped.stop_pending = false;
+                    if (reply.status == OrderStatus::kDone) {
+                      stopped.stop_done = true;
+                      stopped.listed_after = Now() + settings_.stop_time;
+                      runner->next_hold =
+                          std::min(runner->next_hold, stopped.listed_after);
+                    } else {
+                      stopped.next_stop = Now() + kStopRetry;
+                    }
+                  });
 }
 
 void LeasedUpstreamClient::Impl::SendStrangerStop(const RunnerPointer& runner,
@@ -460,8 +459,8 @@
   const bool running = std::any_of(
       runner->runs.begin(), runner->runs.end(),
       [](const auto& it) { return it.second.phase == Phase::kRunning; });
-  const bool settling = std::any_of(
-      runner->runs.begin(), runner->runs.end(), [](const auto& it) {
+  const bool settling =
+      std::any_of(runner->runs.begin(), runner->runs.end(), [](const auto& it) {
         return it.second.phase == Phase::kDoubtful || it.second.stop_wanted;
       });
   if (running && runner->clean) {
@@ -478,8 +477,8 @@
   const uint64_t number = ++runner->hold_number;
   const uint64_t acknowledged = order.last_seen;
   holds_.Add();
-  transport_.Hold(std::move(order), [this, runner, number, now, acknowledged](
-                                        const HoldReply& reply) {
+  transport_.Hold(std::move(order), [this, runner, number, now,
+                                     acknowledged](const HoldReply& reply) {
     if (reply.order.status == OrderStatus::kDone) {
       runner->acknowledged = std::max(runner->acknowledged, acknowledged);
     }
@@ -537,8 +536,8 @@
 void LeasedUpstreamClient::Impl::ReadLists(const RunnerPointer& runner,
                                            absl::Time sent,
                                            const HoldReply& reply) {
-  // Ends are numbered anew in each life. Runs of the former life are missing from
-  // the lists.
+  // Ends are numbered anew in each life. Runs of the former life are missing
+  // from the lists.
   if (reply.incarnation != runner->incarnation) {
     runner->last_seen = 0;
     runner->acknowledged = 0;
@@ -560,9 +559,8 @@
       runner->strangers.try_emplace(key, absl::InfinitePast());
     }
   }
-  std::erase_if(runner->strangers, [&](const auto& it) {
-    return !active.contains(it.first);
-  });
+  std::erase_if(runner->strangers,
+                [&](const auto& it) { return !active.contains(it.first); });
   std::vector<RunKey> missing;
   for (const auto& [key, run] : runner->runs) {
     if (!active.contains(key) && run.listed_after <= sent) {
@@ -693,10 +691,9 @@
                       "the lease passed without an answer"));
   }
   const bool idle = runner->clean && runner->runs.empty();
-  const bool due =
-      idle ? runner->last_seen > runner->acknowledged &&
-                 runner->hold_sent + kIdleAcknowledge <= now
-           : runner->next_hold <= now;
+  const bool due = idle ? runner->last_seen > runner->acknowledged &&
+                              runner->hold_sent + kIdleAcknowledge <= now
+                        : runner->next_hold <= now;
   if (due && MayHold(*runner)) {
     SendHold(runner);
   }
--- a/src/log.cc
+++ b/src/log.cc
@@ -1,15 +1,15 @@
 #include "radishrail/log.h"
 
 #include <array>
+#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/drop_on_overflow.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
-#include <boost/core/null_deleter.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -31,9 +31,8 @@
 using Backend = boost::log::sinks::text_ostream_backend;
 using Sink = boost::log::sinks::asynchronous_sink<
     Backend,
-    boost::log::sinks::bounded_fifo_queue<
-        kLogQueueLines,
-        boost::log::sinks::drop_on_overflow>>;
+    boost::log::sinks::bounded_fifo_queue<kLogQueueLines,
+                                          boost::log::sinks::drop_on_overflow>>;
 
 boost::shared_ptr<Sink>& CurrentSink() {
   static auto* sink = new boost::shared_ptr<Sink>();
--- a/src/pool_dispatcher.cc
+++ b/src/pool_dispatcher.cc
@@ -133,8 +133,8 @@
   jobs_.Tick();
   due = std::min(due, client_.Tick());
   const absl::Time now = clock_.Monotonic();
-  return std::min(due, now + (jobs_.jobs_in_progress() > 0 ? kBusyTick
-                                                           : kIdleTick));
+  return std::min(due,
+                  now + (jobs_.jobs_in_progress() > 0 ? kBusyTick : kIdleTick));
 }
 
 }  // namespace radishrail
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -100,37 +100,37 @@
         incarnation_(incarnation),
         env_(env),
         log_(env.clock, env.metrics),
-        ownership_({settings.vm, settings.failure_domain,
-                    settings.peer_address},
-                   env.clock,
-                   env.random,
-                   env.store,
-                   [this](const std::string&) { OnOwnershipChanged(); }),
-        dispatcher_(settings.failure_domain,
-                    settings.lease,
-                    env.clock,
-                    env.random,
-                    env.runners,
-                    std::move(scheduler),
-                    env.metrics,
-                    env.timeline,
-                    [this](const std::string& pool) {
-                      ownership_.OnFenced(pool);
-                    }),
-        router_(settings.vm,
-                settings.failure_domain,
-                incarnation,
-                env.clock,
-                env.transport,
-                ownership_,
-                [this](JobSpec job,
-                       std::shared_ptr<const VersionedDocument> document,
-                       AnswerCallback callback) {
-                  Dispatch("this daemon", std::move(job), std::move(document),
-                           std::move(callback));
-                },
-                env.metrics,
-                log_),
+        ownership_(
+            {settings.vm, settings.failure_domain, settings.peer_address},
+            env.clock,
+            env.random,
+            env.store,
+            [this](const std::string&) { OnOwnershipChanged(); }),
+        dispatcher_(
+            settings.failure_domain,
+            settings.lease,
+            env.clock,
+            env.random,
+            env.runners,
+            std::move(scheduler),
+            env.metrics,
+            env.timeline,
+            [this](const std::string& pool) { ownership_.OnFenced(pool); }),
+        router_(
+            settings.vm,
+            settings.failure_domain,
+            incarnation,
+            env.clock,
+            env.transport,
+            ownership_,
+            [this](JobSpec job,
+                   std::shared_ptr<const VersionedDocument> document,
+                   AnswerCallback callback) {
+              Dispatch("this daemon", std::move(job), std::move(document),
+                       std::move(callback));
+            },
+            env.metrics,
+            log_),
         runner_watcher_(codec_.runner_prefix,
                         settings.watch_wait,
                         env.store,
@@ -147,12 +147,11 @@
                           [this](const std::vector<Row>& rows, bool) {
                             OnDocumentRows(rows);
                           }),
-        spoiled_rows_(
-            env.metrics.counter("radishrail_store_rows_spoiled_total",
-                                "Rows that could not be decoded")),
-        document_version_(env.metrics.gauge(
-            "radishrail_document_version",
-            "Version of the configuration in force")) {
+        spoiled_rows_(env.metrics.counter("radishrail_store_rows_spoiled_total",
+                                          "Rows that could not be decoded")),
+        document_version_(
+            env.metrics.gauge("radishrail_document_version",
+                              "Version of the configuration in force")) {
     ownership_.SetPools({settings.failure_domain});
     runner_watcher_.SetPace(kOtherPace);
   }
@@ -198,9 +197,8 @@
   }
 
   void Abandon(const std::string& key) {
-    router_.Abandon(key, [&] {
-      dispatcher_.Cancel(key, ErrorCode::kConnectionBroken);
-    });
+    router_.Abandon(
+        key, [&] { dispatcher_.Cancel(key, ErrorCode::kConnectionBroken); });
   }
 
   void Cancel(const std::string& key, std::function<void(bool)> done) {
@@ -304,9 +302,8 @@
     transaction.writes.push_back(
         {absl::StrCat("members/", settings_.vm), EncodeMember(self())});
     env_.store.Transact(
-        std::move(transaction),
-        [this](TransactionOutcome outcome, const std::string&,
-               const Error& error) {
+        std::move(transaction), [this](TransactionOutcome outcome,
+                                       const std::string&, const Error& error) {
           if (outcome != TransactionOutcome::kCommitted) {
             Log(LogLevel::kWarning, "the member row was not written",
                 {{"detail", error.ToString()}});
@@ -441,8 +438,8 @@
       task.declared_slots = static_cast<int>(step.slots);
       task.max_failures = static_cast<int>(request.max_failures);
       task.restartable = true;
-      for (uint32_t n = 0;
-           n < step.count && job.tasks.size() < kMaxTasksPerJob; ++n) {
+      for (uint32_t n = 0; n < step.count && job.tasks.size() < kMaxTasksPerJob;
+           ++n) {
         task.id = absl::StrCat("0.", i, ".", n);
         job.tasks.push_back(task);
       }
@@ -475,22 +472,22 @@
                 std::shared_ptr<const VersionedDocument> document,
                 AnswerCallback callback) {
     const SchedulerLoad load = dispatcher_.load();
-    log_.Write(Decision::kJobAdmitted, job.key, "queued",
-               {{"entry", entry},
-                {"tasks", absl::StrCat(job.tasks.size())},
-                {"environment", job.environment},
-                {"promised_ms",
-                 absl::StrCat(absl::ToInt64Milliseconds(job.promised))},
-                {"busy_slots", absl::StrCat(load.busy_slots)},
-                {"slots", absl::StrCat(load.slots)},
-                {"backlog_ms",
-                 absl::StrCat(absl::ToInt64Milliseconds(load.backlog))}});
+    log_.Write(
+        Decision::kJobAdmitted, job.key, "queued",
+        {{"entry", entry},
+         {"tasks", absl::StrCat(job.tasks.size())},
+         {"environment", job.environment},
+         {"promised_ms", absl::StrCat(absl::ToInt64Milliseconds(job.promised))},
+         {"busy_slots", absl::StrCat(load.busy_slots)},
+         {"slots", absl::StrCat(load.slots)},
+         {"backlog_ms",
+          absl::StrCat(absl::ToInt64Milliseconds(load.backlog))}});
     const absl::Time accepted = env_.clock.Monotonic();
     const absl::Duration promised = job.promised;
     dispatcher_.Submit(
         std::move(job), std::move(document),
-        [this, accepted, promised, callback = std::move(callback)](
-            const JobAnswer& answer) {
+        [this, accepted, promised,
+         callback = std::move(callback)](const JobAnswer& answer) {
           LogEnd(answer, env_.clock.Monotonic() - accepted, promised);
           callback(answer);
         });
@@ -500,14 +497,14 @@
               absl::Duration took,
               absl::Duration promised) {
     const bool bad = answer.status == JobStatus::kFailed || took > promised;
-    log_.Write(answer.status == JobStatus::kNotRun ? Decision::kJobNotAdmitted
-                                                   : Decision::kJobEnded,
-               answer.key, JobStatusName(answer.status),
-               {{"took_ms", absl::StrCat(absl::ToInt64Milliseconds(took))},
-                {"promised_ms",
-                 absl::StrCat(absl::ToInt64Milliseconds(promised))},
-                {"error", std::string(ErrorCodeName(answer.error.code))},
-                {"detail", answer.error.detail}});
+    log_.Write(
+        answer.status == JobStatus::kNotRun ? Decision::kJobNotAdmitted
+                                            : Decision::kJobEnded,
+        answer.key, JobStatusName(answer.status),
+        {{"took_ms", absl::StrCat(absl::ToInt64Milliseconds(took))},
+         {"promised_ms", absl::StrCat(absl::ToInt64Milliseconds(promised))},
+         {"error", std::string(ErrorCodeName(answer.error.code))},
+         {"detail", answer.error.detail}});
     if (bad) {
       log_.WriteHistory(answer.key, env_.timeline);
     }
@@ -530,9 +527,7 @@
     return document;
   }
 
-  void Reply(uint64_t number,
-             const std::string& key,
-             const JobAnswer& answer) {
+  void Reply(uint64_t number, const std::string& key, const JobAnswer& answer) {
     const auto it = forwarded_.find(number);
     if (it == forwarded_.end()) {
       return;
@@ -549,8 +544,8 @@
     reply.status = static_cast<uint32_t>(answer.status);
     reply.error = static_cast<uint32_t>(answer.error.code);
     reply.detail = answer.error.detail;
-    reply.retry_after_ms = static_cast<uint32_t>(
-        absl::ToInt64Milliseconds(answer.retry_after));
+    reply.retry_after_ms =
+        static_cast<uint32_t>(absl::ToInt64Milliseconds(answer.retry_after));
     const SchedulerLoad load = dispatcher_.load();
     reply.busy_slots = static_cast<uint32_t>(std::max(load.busy_slots, 0));
     reply.backlog_ms =
@@ -826,7 +821,7 @@
   StoreWatcher document_watcher_;
   Counter& spoiled_rows_;
   Gauge& document_version_;
-  std::map<std::string, Peer> peers_;  // by address
+  std::map<std::string, Peer> peers_;           // by address
   std::map<std::string, KnownRunner> runners_;  // by row key
   std::optional<RoutedDocuments> documents_;
   absl::flat_hash_map<uint64_t, ForwardedJob> forwarded_;
--- a/src/pool_ownership.cc
+++ b/src/pool_ownership.cc
@@ -112,7 +112,7 @@
   pool.claim.address.clear();
   pool.claim.accepting = false;
   pool.heard = clock_.Monotonic();
-  const PoolClaim claim = pool.claim;
+  PoolClaim claim = pool.claim;
   on_change_(name);
   return claim;
 }
@@ -148,9 +148,8 @@
       std::max(pool.heard, pool.known_since) +
       (pool.heard == absl::InfinitePast() && home ? absl::ZeroDuration()
                                                   : settings_.silence);
-  return std::max(pool.next_try,
-                  silent_at + (home ? absl::ZeroDuration()
-                                    : settings_.foreign_delay));
+  return std::max(pool.next_try, silent_at + (home ? absl::ZeroDuration()
+                                                   : settings_.foreign_delay));
 }
 
 // A daemon that was cut off itself has heard nobody; once it is back, living
@@ -184,25 +183,25 @@
 
 void PoolOwnership::TryClaim(const std::string& name) {
   pools_[name].pending = true;
-  store_.Read(RowKey(name), [this, name](std::optional<Row> row,
-                                         const Error& error) {
-    Pool& pool = pools_[name];
-    if (!row.has_value()) {
-      Log(LogLevel::kWarning, "the row of a pool was not read",
-          {{"pool", name}, {"detail", error.ToString()}});
-      store_since_ = absl::InfiniteFuture();
-      Retry(pool);
-      return;
-    }
-    if (store_since_ == absl::InfiniteFuture()) {
-      store_since_ = clock_.Monotonic();
-    }
-    if (WasCutOff(name)) {
-      Retry(pool);
-      return;
-    }
-    OnRow(name, *row);
-  });
+  store_.Read(RowKey(name),
+              [this, name](std::optional<Row> row, const Error& error) {
+                Pool& pool = pools_[name];
+                if (!row.has_value()) {
+                  Log(LogLevel::kWarning, "the row of a pool was not read",
+                      {{"pool", name}, {"detail", error.ToString()}});
+                  store_since_ = absl::InfiniteFuture();
+                  Retry(pool);
+                  return;
+                }
+                if (store_since_ == absl::InfiniteFuture()) {
+                  store_since_ = clock_.Monotonic();
+                }
+                if (WasCutOff(name)) {
+                  Retry(pool);
+                  return;
+                }
+                OnRow(name, *row);
+              });
 }
 
 void PoolOwnership::Retry(Pool& pool) {
@@ -247,33 +246,32 @@
   Transaction transaction;
   transaction.checks.push_back({RowKey(name), row.version});
   transaction.writes.push_back({RowKey(name), EncodeClaim(claim)});
-  store_.Transact(
-      std::move(transaction),
-      [this, name, claim](TransactionOutcome outcome, const std::string&,
-                          const Error& error) {
-        Pool& pool = pools_[name];
-        pool.pending = false;
-        if (outcome != TransactionOutcome::kCommitted || retired_ ||
-            pool.claim.fence >= claim.fence) {
-          // The row is read again; it shows whether a write without an answer
-          // was carried out.
-          Log(LogLevel::kInfo, "pool not claimed",
-              {{"pool", name},
-               {"fence", absl::StrCat(claim.fence)},
-               {"detail", error.ToString()}});
-          Retry(pool);
-          return;
-        }
-        Adopt(name, claim, clock_.Monotonic());
-      });
+  store_.Transact(std::move(transaction),
+                  [this, name, claim](TransactionOutcome outcome,
+                                      const std::string&, const Error& error) {
+                    Pool& pool = pools_[name];
+                    pool.pending = false;
+                    if (outcome != TransactionOutcome::kCommitted || retired_ ||
+                        pool.claim.fence >= claim.fence) {
+                      // The row is read again; it shows whether a write without
+                      // an answer was carried out.
+                      Log(LogLevel::kInfo, "pool not claimed",
+                          {{"pool", name},
+                           {"fence", absl::StrCat(claim.fence)},
+                           {"detail", error.ToString()}});
+                      Retry(pool);
+                      return;
+                    }
+                    Adopt(name, claim, clock_.Monotonic());
+                  });
 }
 
 void PoolOwnership::Adopt(const std::string& name,
                           const PoolClaim& claim,
                           absl::Time heard) {
   Pool& pool = pools_[name];
-  const bool changed = claim.fence != pool.claim.fence ||
-                       claim.owner != pool.claim.owner;
+  const bool changed =
+      claim.fence != pool.claim.fence || claim.owner != pool.claim.owner;
   pool.claim = claim;
   // A released pool may be claimed at once.
   pool.heard = claim.owner.empty() ? heard - settings_.silence : heard;
--- a/src/pool_router.cc
+++ b/src/pool_router.cc
@@ -77,10 +77,9 @@
       next_request_(first_request) {}
 
 void PoolRouter::OnClaim(const PoolClaim& claim) {
-  loads_[claim.pool] = {static_cast<int>(claim.slots),
-                        static_cast<int>(claim.busy_slots),
-                        absl::Milliseconds(claim.backlog_ms),
-                        clock_.Monotonic()};
+  loads_[claim.pool] = {
+      static_cast<int>(claim.slots), static_cast<int>(claim.busy_slots),
+      absl::Milliseconds(claim.backlog_ms), clock_.Monotonic()};
 }
 
 std::optional<std::string> PoolRouter::Choose(const Offer& offer) const {
@@ -186,8 +185,8 @@
                ErrorCodeName(answer.error.code),
                {{"pools_tried", absl::StrJoin(offer->tried, ",")},
                 {"detail", answer.error.detail},
-                {"retry_after_ms", absl::StrCat(absl::ToInt64Milliseconds(
-                                       answer.retry_after))}});
+                {"retry_after_ms",
+                 absl::StrCat(absl::ToInt64Milliseconds(answer.retry_after))}});
   }
   offer->callback(answer);
 }
--- a/src/routed_documents.cc
+++ b/src/routed_documents.cc
@@ -7,8 +7,7 @@
   const RoutedDocument* best = nullptr;
   for (const auto& it : routes) {
     if (it.host == host && path.starts_with(it.path_prefix) &&
-        (best == nullptr ||
-         it.path_prefix.size() > best->path_prefix.size())) {
+        (best == nullptr || it.path_prefix.size() > best->path_prefix.size())) {
       best = &it;
     }
   }
--- a/src/store_watcher.cc
+++ b/src/store_watcher.cc
@@ -33,22 +33,22 @@
 }
 
 void StoreWatcher::TakeSnapshot() {
-  store_.Snapshot(prefix_, [this, alive = std::weak_ptr<const bool>(alive_)](
-                               std::optional<Store::Changes> changes,
-                               const Error& error) {
-    if (alive.expired() || stopped_) {
-      return;
-    }
-    if (!changes.has_value()) {
-      OnFailure(error);
-      return;
-    }
-    OnAnswer();
-    has_snapshot_ = true;
-    version_ = changes->next;
-    on_rows_(changes->rows, true);
-    WaitPaced();
-  });
+  store_.Snapshot(
+      prefix_, [this, alive = std::weak_ptr<const bool>(alive_)](
+                   std::optional<Store::Changes> changes, const Error& error) {
+        if (alive.expired() || stopped_) {
+          return;
+        }
+        if (!changes.has_value()) {
+          OnFailure(error);
+          return;
+        }
+        OnAnswer();
+        has_snapshot_ = true;
+        version_ = changes->next;
+        on_rows_(changes->rows, true);
+        WaitPaced();
+      });
 }
 
 void StoreWatcher::SetPace(absl::Duration pace) {
@@ -61,13 +61,13 @@
 
 void StoreWatcher::WaitPaced() {
   planned_ = true;
-  executor_.PostDelayed(pace_, [this, plan = ++plan_,
-                                alive = std::weak_ptr<const bool>(alive_)] {
-    if (!alive.expired() && !stopped_ && plan == plan_) {
-      planned_ = false;
-      Wait();
-    }
-  });
+  executor_.PostDelayed(
+      pace_, [this, plan = ++plan_, alive = std::weak_ptr<const bool>(alive_)] {
+        if (!alive.expired() && !stopped_ && plan == plan_) {
+          planned_ = false;
+          Wait();
+        }
+      });
 }
 
 void StoreWatcher::Wait() {
@@ -78,8 +78,8 @@
                    return;
                  }
                  if (!changes.has_value()) {
-                   has_snapshot_ = has_snapshot_ &&
-                                   error.code != ErrorCode::kNotFound;
+                   has_snapshot_ =
+                       has_snapshot_ && error.code != ErrorCode::kNotFound;
                    OnFailure(error);
                    return;
                  }
@@ -106,21 +106,19 @@
     Log(LogLevel::kWarning, "store out of touch",
         {{"prefix", prefix_}, {"detail", error.ToString()}});
   }
-  const absl::Duration backoff =
-      std::min(kMaxBackoff, kMinBackoff * (1 << std::min(failures_++,
-                                                         kMaxDoublings)));
-  executor_.PostDelayed(
-      backoff * (0.5 + random_.Unit()),
-      [this, alive = std::weak_ptr<const bool>(alive_)] {
-        if (alive.expired() || stopped_) {
-          return;
-        }
-        if (has_snapshot_) {
-          Wait();
-        } else {
-          TakeSnapshot();
-        }
-      });
+  const absl::Duration backoff = std::min(
+      kMaxBackoff, kMinBackoff * (1 << std::min(failures_++, kMaxDoublings)));
+  executor_.PostDelayed(backoff * (0.5 + random_.Unit()),
+                        [this, alive = std::weak_ptr<const bool>(alive_)] {
+                          if (alive.expired() || stopped_) {
+                            return;
+                          }
+                          if (has_snapshot_) {
+                            Wait();
+                          } else {
+                            TakeSnapshot();
+                          }
+                        });
 }
 
 }  // namespace radishrail
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -18,7 +18,8 @@
 namespace radishrail::platform {
 namespace {
 
-// A stand-in that answers each path with a fixed response and keeps what it got.
+// A stand-in that answers each path with a fixed response and keeps what it
+// got.
 class PlatformAdapterTest : public testing::Test {
  protected:
   PlatformAdapterTest() {
@@ -59,11 +60,11 @@
 
   std::pair<std::optional<Store::Changes>, Error> Watch() {
     Pending<std::pair<std::optional<Store::Changes>, Error>> pending;
-    store_->Watch("t/", 3, absl::ZeroDuration(),
-                  [pending](std::optional<Store::Changes> changes,
-                            Error error) mutable {
-                    pending.Set({std::move(changes), std::move(error)});
-                  });
+    store_->Watch(
+        "t/", 3, absl::ZeroDuration(),
+        [pending](std::optional<Store::Changes> changes, Error error) mutable {
+          pending.Set({std::move(changes), std::move(error)});
+        });
     return pending.Wait();
   }
 
@@ -131,11 +132,11 @@
 TEST_F(PlatformAdapterTest, ObjectsAreWrittenOnce) {
   Respond("/blob-put/a", 412, "");
   Pending<bool> pending;
-  store_->PutObject("a", "body",
-                    [pending](const std::optional<std::string>& body,
-                              const Error&) mutable {
-                      pending.Set(body.has_value());
-                    });
+  store_->PutObject(
+      "a", "body",
+      [pending](const std::optional<std::string>& body, const Error&) mutable {
+        pending.Set(body.has_value());
+      });
   EXPECT_TRUE(pending.Wait());
   EXPECT_EQ(requests_[0].Header("If-None-Match"), "*");
 }
--- a/tests/pool_fleet.h
+++ b/tests/pool_fleet.h
@@ -163,8 +163,8 @@
     daemon.node = std::make_unique<PoolNode>(
         settings, Codec(), daemon.incarnation,
         PoolNodeEnvironment{clock, random_, *daemon.pumped, *daemon.store,
-                            *daemon.transport, *daemon.runners,
-                            *daemon.metrics, *daemon.timeline},
+                            *daemon.transport, *daemon.runners, *daemon.metrics,
+                            *daemon.timeline},
         std::make_unique<PolicyScheduler>(clock));
     daemon.pumped->SetPump([&daemon] { return daemon.node->Tick(); });
     daemon.pumped->Post([&daemon] { daemon.node->Start(); });
@@ -361,9 +361,8 @@
                               : MemberRecord();
     // Messages travel encoded, as between processes.
     target->second.pumped->PostDelayed(
-        absl::Milliseconds(1),
-        [&daemon = target->second, record,
-         encoded = EncodePeerMessage(message)] {
+        absl::Milliseconds(1), [&daemon = target->second, record,
+                                encoded = EncodePeerMessage(message)] {
           const auto decoded = DecodePeerMessage(encoded, nullptr);
           if (decoded.has_value()) {
             daemon.node->OnPeerMessage(record, *decoded);
@@ -429,8 +428,7 @@
     }
     job.refused_only = job.refused_only && status == JobStatus::kNotRun;
     log.Note(clock, absl::StrCat(key, " submission ", submission, " at ",
-                                 job.entry, ": ",
-                                 static_cast<int>(status), " ",
+                                 job.entry, ": ", static_cast<int>(status), " ",
                                  error.ToString()));
     if (status == JobStatus::kFailed) {
       Resubmit(key);
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -313,8 +313,7 @@
   Repair(fleet);
   fleet.loop.RunFor(absl::Seconds(3));
   fleet.CheckRefusals();
-  EXPECT_THAT(fleet.log.violations, IsEmpty())
-      << fleet.log.TraceOfViolation();
+  EXPECT_THAT(fleet.log.violations, IsEmpty()) << fleet.log.TraceOfViolation();
   const int complete = fleet.answers[JobStatus::kComplete];
   for (int i = 0; i < 10; ++i) {
     fleet.Submit(names[static_cast<size_t>(i) % names.size()], 1);
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -90,8 +90,8 @@
   }
 };
 
-// A runner as the platform's page describes it: leases on its own clock, fences,
-// numbered ends, room for a number of tasks.
+// A runner as the platform's page describes it: leases on its own clock,
+// fences, numbered ends, room for a number of tasks.
 class FakeRunner {
  public:
   FakeRunner(EventLoop& loop, FakeClock& clock, RunLog& log, std::string name)
@@ -241,11 +241,10 @@
       log_.violations.push_back(
           absl::StrCat("two runs of ", task, " at the same time"));
     }
-    loop_.PostDelayed(failing ? absl::Milliseconds(5) : run_time,
-                      [this, task, number] {
-                        End(task, number,
-                            failing ? RunEnd::kFailed : RunEnd::kDone);
-                      });
+    loop_.PostDelayed(
+        failing ? absl::Milliseconds(5) : run_time, [this, task, number] {
+          End(task, number, failing ? RunEnd::kFailed : RunEnd::kDone);
+        });
   }
 
   void Forget(const std::string& task) {
@@ -333,23 +332,24 @@
     FakeRunner* runner = Find(order.runner.address);
     if (start_delay > absl::ZeroDuration()) {
       // The order waits in the runner's process and is gone with it.
-      loop_.PostDelayed(start_delay, [runner, order,
-                                      life = runner->incarnation] {
-        if (runner->incarnation == life) {
-          runner->Start(order);
-        }
-      });
+      loop_.PostDelayed(start_delay,
+                        [runner, order, life = runner->incarnation] {
+                          if (runner->incarnation == life) {
+                            runner->Start(order);
+                          }
+                        });
       Unanswered(order.timeout, std::move(callback));
       return;
     }
-    Deliver<OrderReply>(
-        order.runner.address, order.timeout, std::move(callback),
-        [this, runner, order](const OrderCallback& done) {
-          // As the client does: not sent after a pause of the daemon.
-          if (clock_.Monotonic() < order.send_by) {
-            done(runner->Start(order));
-          }
-        });
+    Deliver<OrderReply>(order.runner.address, order.timeout,
+                        std::move(callback),
+                        [this, runner, order](const OrderCallback& done) {
+                          // As the client does: not sent after a pause of the
+                          // daemon.
+                          if (clock_.Monotonic() < order.send_by) {
+                            done(runner->Start(order));
+                          }
+                        });
   }
   void Stop(StopOrder order, OrderCallback callback) override {
     FakeRunner* runner = Find(order.runner.address);
@@ -381,8 +381,7 @@
   static void SetUnanswered(HoldReply* reply) { SetUnanswered(&reply->order); }
 
   template <typename Reply>
-  void Unanswered(absl::Duration timeout,
-                  std::function<void(Reply)> callback) {
+  void Unanswered(absl::Duration timeout, std::function<void(Reply)> callback) {
     daemon_.PostDelayed(timeout, [this, callback = std::move(callback)] {
       if (!dead) {
         Reply reply;
@@ -407,21 +406,21 @@
       }
     };
     if (!cut.contains(address) && Find(address) != nullptr) {
-      loop_.PostDelayed(absl::Milliseconds(1), [this, address, once,
-                                                carry_out = std::move(
-                                                    carry_out)] {
-        if (dead) {
-          return;
-        }
-        carry_out([this, address, once](Reply reply) {
-          if (dead || cut.contains(address) || deaf.contains(address)) {
-            return;
-          }
-          daemon_.PostDelayed(
-              absl::Milliseconds(1),
-              [once, reply = std::move(reply)] { once(reply); });
-        });
-      });
+      loop_.PostDelayed(
+          absl::Milliseconds(1),
+          [this, address, once, carry_out = std::move(carry_out)] {
+            if (dead) {
+              return;
+            }
+            carry_out([this, address, once](Reply reply) {
+              if (dead || cut.contains(address) || deaf.contains(address)) {
+                return;
+              }
+              daemon_.PostDelayed(
+                  absl::Milliseconds(1),
+                  [once, reply = std::move(reply)] { once(reply); });
+            });
+          });
     }
     Unanswered<Reply>(timeout, once);
   }
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -83,7 +83,8 @@
 TEST_F(WireTest, SpoiledRunnerEntryIsIgnored) {
   for (const std::string& it :
        {std::string("\xff\xfe"), std::string("{}"), Entry("asleep"),
-        std::string(R"({"service":1,"address":"a","zone":"z","state":"ready"})"),
+        std::string(
+            R"({"service":1,"address":"a","zone":"z","state":"ready"})"),
         std::string(
             R"({"service":"s","address":"a","zone":"z","state":"ready"})")}) {
     EXPECT_FALSE(DecodeRunnerEntry("i-1", it, &error_).has_value()) << it;
