--- a/include/radishrail/pool_router.h
+++ b/include/radishrail/pool_router.h
@@ -37,8 +37,7 @@
                          std::shared_ptr<const VersionedDocument> document,
                          AnswerCallback callback)>;
 
-  PoolRouter(std::string vm,
-             std::string failure_domain,
+  PoolRouter(std::string failure_domain,
              uint64_t first_request,
              const Clock& clock,
              PeerTransport& transport,
@@ -100,7 +99,6 @@
   void OnAnswer(const OfferPointer& offer, const JobAnswer& answer);
   void Fail(uint64_t request, ErrorCode code, const char* reason);
 
-  const std::string vm_;
   const std::string failure_domain_;
   const Clock& clock_;
   PeerTransport& transport_;
--- a/src/leased_upstream_client.cc
+++ b/src/leased_upstream_client.cc
@@ -177,6 +177,7 @@
                  absl::Time sent,
                  const HoldReply& reply);
   void OnEnd(const RunnerPointer& runner, const EndedRun& ended);
+  void OnOtherLife(const RunnerPointer& runner);
   void EndAll(const RunnerPointer& runner,
               TaskOutcome outcome,
               ErrorCode code,
@@ -352,10 +353,7 @@
       break;
     case OrderStatus::kOtherLife:
       refuse(ErrorCode::kUnreachable);
-      runner->gone = true;
-      SetClean(runner, false);
-      EndAll(runner, TaskOutcome::kEnded, ErrorCode::kUnreachable,
-             "another life of the runner answers");
+      OnOtherLife(runner);
       break;
     case OrderStatus::kStale:
     case OrderStatus::kLate:
@@ -520,10 +518,7 @@
       on_fenced_(runner->info.failure_domain);
       return;
     case OrderStatus::kOtherLife:
-      runner->gone = true;
-      SetClean(runner, false);
-      EndAll(runner, TaskOutcome::kEnded, ErrorCode::kUnreachable,
-             "another life of the runner answers");
+      OnOtherLife(runner);
       return;
     case OrderStatus::kUnhealthy:
       return;
@@ -608,6 +603,14 @@
   }
 }
 
+// The life that this daemon knew has ended, and all its runs with it.
+void LeasedUpstreamClient::Impl::OnOtherLife(const RunnerPointer& runner) {
+  runner->gone = true;
+  SetClean(runner, false);
+  EndAll(runner, TaskOutcome::kEnded, ErrorCode::kUnreachable,
+         "another life of the runner answers");
+}
+
 void LeasedUpstreamClient::Impl::EndAll(const RunnerPointer& runner,
                                         TaskOutcome outcome,
                                         ErrorCode code,
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -117,7 +117,6 @@
             env.timeline,
             [this](const std::string& pool) { ownership_.OnFenced(pool); }),
         router_(
-            settings.vm,
             settings.failure_domain,
             incarnation,
             env.clock,
@@ -300,7 +299,7 @@
   void JoinMembers() {
     Transaction transaction;
     transaction.writes.push_back(
-        {absl::StrCat("members/", settings_.vm), EncodeMember(self())});
+        {std::string(kMemberPrefix) + settings_.vm, EncodeMember(self())});
     env_.store.Transact(
         std::move(transaction), [this](TransactionOutcome outcome,
                                        const std::string&, const Error& error) {
--- a/src/pool_router.cc
+++ b/src/pool_router.cc
@@ -49,8 +49,7 @@
 
 }  // namespace
 
-PoolRouter::PoolRouter(std::string vm,
-                       std::string failure_domain,
+PoolRouter::PoolRouter(std::string failure_domain,
                        uint64_t first_request,
                        const Clock& clock,
                        PeerTransport& transport,
@@ -58,8 +57,7 @@
                        LocalSubmit local,
                        Metrics& metrics,
                        DecisionLog& log)
-    : vm_(std::move(vm)),
-      failure_domain_(std::move(failure_domain)),
+    : failure_domain_(std::move(failure_domain)),
       clock_(clock),
       transport_(transport),
       ownership_(ownership),
