--- a/include/radishrail/leased_upstream_client.h
+++ b/include/radishrail/leased_upstream_client.h
@@ -58,9 +58,9 @@
   bool Usable(const std::string& vm) const;
 
   void Start(TaskStart start, Callback callback) override;
-  void Stop(const std::string& job_key,
-            const std::string& task_id,
-            int attempt) override;
+  void StopRun(const std::string& job_key,
+               const std::string& task_id,
+               int attempt) override;
 
   // Sends orders that are due; returns when the next ones are.
   absl::Time Tick();
--- a/include/radishrail/pool_dispatcher.h
+++ b/include/radishrail/pool_dispatcher.h
@@ -57,9 +57,9 @@
     explicit PlacingClient(PoolDispatcher& dispatcher)
         : dispatcher_(dispatcher) {}
     void Start(TaskStart start, Callback callback) override;
-    void Stop(const std::string& job_key,
-              const std::string& task_id,
-              int attempt) override;
+    void StopRun(const std::string& job_key,
+                 const std::string& task_id,
+                 int attempt) override;
 
    private:
     PoolDispatcher& dispatcher_;
--- a/include/radishrail/upstream_client.h
+++ b/include/radishrail/upstream_client.h
@@ -53,9 +53,9 @@
   virtual void Start(TaskStart start, Callback callback) = 0;
   // Asks for the end of a run that was started; its callback still runs. Does
   // nothing where upstreams cannot stop tasks.
-  virtual void Stop(const std::string& /*job_key*/,
-                    const std::string& /*task_id*/,
-                    int /*attempt*/) {}
+  virtual void StopRun(const std::string& /*job_key*/,
+                       const std::string& /*task_id*/,
+                       int /*attempt*/) {}
 };
 
 }  // namespace radishrail
--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -524,14 +524,11 @@
 
   // A run ended without a result. Only a restartable task may run again.
   void OnEnded(Job& job, TaskRef ref, Error error) {
-    if (!job.spec.tasks[ref.task].restartable) {
+    if (job.spec.tasks[ref.task].restartable && job.error.ok()) {
+      OnNotStarted(job, ref, std::move(error));
+    } else {
       OnFailed(job, ref, TaskStatus::kUnknown, ErrorCode::kOutcomeUnknown,
                std::move(error));
-    } else if (!job.error.ok()) {
-      OnFailed(job, ref, TaskStatus::kUnknown, ErrorCode::kCancelled,
-               std::move(error));
-    } else {
-      OnNotStarted(job, ref, std::move(error));
     }
   }
 
@@ -633,7 +630,7 @@
       if (task.status == TaskStatus::kRunning && !task.stopping &&
           job.spec.tasks[i].restartable) {
         task.stopping = true;
-        client_.Stop(job.spec.key, job.spec.tasks[i].id, task.attempts);
+        client_.StopRun(job.spec.key, job.spec.tasks[i].id, task.attempts);
       }
     }
   }
@@ -677,9 +674,8 @@
     // Of a job that did not run, nothing is remembered, so that the caller can
     // submit it again. A cancelled key stays, so that a delayed duplicate of
     // its submission does not run it.
-    if (job.spec.best_effort) {
-      keys_.Remove(record);
-    } else if (answer.status != JobStatus::kNotRun || job.cancelled) {
+    if (!job.spec.best_effort &&
+        (answer.status != JobStatus::kNotRun || job.cancelled)) {
       record.answer_json = JobAnswerToJson(answer);
       record.answer_json.shrink_to_fit();
       keys_.Retain(record, clock_.Monotonic());
--- a/src/leased_upstream_client.cc
+++ b/src/leased_upstream_client.cc
@@ -125,7 +125,7 @@
     return it != runners_.end() && it->second->clean;
   }
   void Start(TaskStart start, Callback callback);
-  void Stop(const std::string& job_key, const std::string& task_id, int run);
+  void StopRun(const std::string& job_key, const std::string& task_id, int run);
   absl::Time Tick();
   size_t runs() const {
     size_t n = 0;
@@ -389,9 +389,9 @@
   runner.next_hold = std::min(runner.next_hold, Now());
 }
 
-void LeasedUpstreamClient::Impl::Stop(const std::string& job_key,
-                                      const std::string& task_id,
-                                      int attempt) {
+void LeasedUpstreamClient::Impl::StopRun(const std::string& job_key,
+                                         const std::string& task_id,
+                                         int attempt) {
   const RunKey key{job_key, task_id, static_cast<uint32_t>(attempt)};
   for (const auto& [vm, runner] : runners_) {
     const auto it = runner->runs.find(key);
@@ -745,10 +745,10 @@
 void LeasedUpstreamClient::Start(TaskStart start, Callback callback) {
   impl_->Start(std::move(start), std::move(callback));
 }
-void LeasedUpstreamClient::Stop(const std::string& job_key,
-                                const std::string& task_id,
-                                int attempt) {
-  impl_->Stop(job_key, task_id, attempt);
+void LeasedUpstreamClient::StopRun(const std::string& job_key,
+                                   const std::string& task_id,
+                                   int attempt) {
+  impl_->StopRun(job_key, task_id, attempt);
 }
 absl::Time LeasedUpstreamClient::Tick() {
   return impl_->Tick();
--- a/src/pool_dispatcher.cc
+++ b/src/pool_dispatcher.cc
@@ -47,10 +47,10 @@
       });
 }
 
-void PoolDispatcher::PlacingClient::Stop(const std::string& job_key,
-                                         const std::string& task_id,
-                                         int attempt) {
-  dispatcher_.client_.Stop(job_key, task_id, attempt);
+void PoolDispatcher::PlacingClient::StopRun(const std::string& job_key,
+                                            const std::string& task_id,
+                                            int attempt) {
+  dispatcher_.client_.StopRun(job_key, task_id, attempt);
 }
 
 PoolDispatcher::PoolDispatcher(
--- a/tests/leased_upstream_client_test.cc
+++ b/tests/leased_upstream_client_test.cc
@@ -161,7 +161,7 @@
   runner_.run_time = absl::Seconds(10);
   Start("0.0.0");
   Run(absl::Milliseconds(20));
-  client_.Stop("job", "0.0.0", 1);
+  client_.StopRun("job", "0.0.0", 1);
   Run(absl::Milliseconds(200));
   EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kEnded)));
   EXPECT_EQ(runner_.runs(), 0u);
@@ -171,7 +171,7 @@
 TEST_F(LeasedUpstreamClientTest, StopBeforeStartIsAnsweredEndsTheRun) {
   runner_.run_time = absl::Seconds(10);
   Start("0.0.0");
-  client_.Stop("job", "0.0.0", 1);
+  client_.StopRun("job", "0.0.0", 1);
   Run(absl::Milliseconds(300));
   EXPECT_EQ(results_.size(), 1u);
   EXPECT_EQ(runner_.runs(), 0u);
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -26,7 +26,7 @@
     HttpServerSettings settings;
     settings.request_headers = {"X-Expected-Instance", "If-None-Match"};
     server_ = std::make_unique<HttpServer>(
-        settings, [this](HttpRequest request, HttpResponder respond) {
+        settings, [this](HttpRequest request, const HttpResponder& respond) {
           const std::lock_guard lock(mutex_);
           HttpResponse response = responses_[request.path];
           requests_.push_back(std::move(request));
@@ -93,9 +93,10 @@
 TEST_F(PlatformAdapterTest, AbsentRowIsReadAsVersionZero) {
   Respond("/rows-get", 200, Rows(RowOf("ab", "other"), 9));
   Pending<Row> pending;
-  store_->Read("t/a", [pending](std::optional<Row> row, const Error&) mutable {
-    pending.Set(row.value_or(Row{"failed", "", -1}));
-  });
+  store_->Read("t/a",
+               [pending](const std::optional<Row>& row, const Error&) mutable {
+                 pending.Set(row.value_or(Row{"failed", "", -1}));
+               });
   const Row row = pending.Wait();
   EXPECT_EQ(row.key, "t/a");
   EXPECT_EQ(row.version, 0);
--- a/tests/pool_fleet.h
+++ b/tests/pool_fleet.h
@@ -185,8 +185,9 @@
     dead_stores_.push_back(std::move(daemon.store));
     dead_runners_.push_back(std::move(daemon.runners));
     dead_pumps_.push_back(std::move(daemon.pumped));
-    for (auto& [other, peer] : daemons_) {
-      if (peer.node != nullptr && !Cut(name, other)) {
+    for (auto& it : daemons_) {
+      Daemon& peer = it.second;
+      if (peer.node != nullptr && !Cut(name, it.first)) {
         peer.pumped->PostDelayed(absl::Milliseconds(1), [&peer, name] {
           peer.node->OnPeerDisconnected(name);
         });
@@ -290,17 +291,18 @@
       return std::nullopt;
     }
     documents.body = body;
-    for (const auto& it : absl::StrSplit(parts[1], ',')) {
+    const std::vector<std::string> classes = absl::StrSplit(parts[1], ',');
+    for (const auto& it : classes) {
       RoutedDocument route;
       route.host = "host";
       route.path_prefix = absl::StrCat("/", it, "/");
-      route.upstream_class = std::string(it);
+      route.upstream_class = it;
       route.max_failures = 3;
       route.stretch = 10;
       route.base = absl::Seconds(1);
       auto document = std::make_shared<VersionedDocument>();
       document->version = documents.version;
-      document->document.environment = std::string(it);
+      document->document.environment = it;
       document->document.retry.max_attempts = 10;
       document->document.retry.budget_percent = 100;
       route.document = std::move(document);
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -205,8 +205,8 @@
   void Fault(PoolFleet& fleet) {
     const auto names = fleet.Names();
     const auto runners = fleet.RunnerNames();
-    const std::string name = names[fleet.random().Below(names.size())];
-    const std::string runner = runners[fleet.random().Below(runners.size())];
+    const std::string& name = names[fleet.random().Below(names.size())];
+    const std::string& runner = runners[fleet.random().Below(runners.size())];
     PoolFleet::Daemon& daemon = fleet.daemon(name);
     const uint64_t kind = fleet.random().Below(12);
     fleet.log.Note(fleet.clock, absl::StrCat("fault ", kind, " daemon ", name,
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -252,7 +252,9 @@
     runs_.erase(task);
   }
 
-  void End(std::string task, uint64_t number, RunEnd end) {
+  // Takes a copy, since the name may be that of the run that ends.
+  void End(std::string name, uint64_t number, RunEnd end) {
+    const std::string task = std::move(name);
     const auto it = runs_.find(task);
     if (it == runs_.end() || it->second.number != number) {
       return;
