Remove dead state and repeated conditions from the client of leased runners

Cause: a reading of the change: three fields were written and never read, the condition for a stop stood four times in three forms, and a stop order was built in two places. Ruled out: one class for both daemons, whose headers look alike but whose parts differ; one table store for both platforms, whose forms differ. Change: NeedsStop, MakeStop, no dead fields, no parameter that only fed them. Behaviour is unchanged.

--- a/src/leased_upstream_client.cc
+++ b/src/leased_upstream_client.cc
@@ -49,11 +49,14 @@
   Phase phase = Phase::kStarting;
   UpstreamClient::Callback callback;
   absl::Time started;
-  absl::Time expected_end;
-  absl::Time send_by;
   bool stop_wanted = false;
   bool stop_pending = false;
   bool stop_done = false;
+  // While the order to start is on its way, its answer decides.
+  bool NeedsStop() const {
+    return stop_wanted && !stop_pending && !stop_done &&
+           phase != Phase::kStarting;
+  }
   absl::Time next_stop = absl::InfinitePast();
   // A list that was asked for later than this tells whether the run exists.
   absl::Time listed_after = absl::InfiniteFuture();
@@ -67,9 +70,8 @@
   uint64_t acknowledged = 0;
   bool clean = false;  // in touch, and without runs of a former owner
   bool gone = false;   // another life answers at the address
-  // The runner's clock showed `clock_ms` between these two instants.
+  // The runner's clock showed `clock_ms` at this instant or a little earlier.
   int64_t clock_ms = 0;
-  absl::Time clock_sent;
   absl::Time clock_received;
   // The runner's clock at the end of the longest lease that it may have.
   int64_t lease_until_ms = 0;
@@ -153,7 +155,7 @@
   }
 
   absl::Time Now() const { return clock_.Monotonic(); }
-  void LearnClock(Runner& runner, int64_t clock_ms, absl::Time sent);
+  void LearnClock(Runner& runner, int64_t clock_ms);
   // The least that the runner's clock shows now.
   int64_t ClockMs(const Runner& runner) const;
   int64_t LeaseUntil(Runner& runner, absl::Duration lease);
@@ -162,10 +164,17 @@
 
   void OnStartReply(const RunnerPointer& runner,
                     const RunKey& key,
-                    absl::Time sent,
                     const OrderReply& reply);
   void Doubt(Runner& runner, Run& run);
   void SendStop(const RunnerPointer& runner, const RunKey& key, Run& run);
+  StopOrder MakeStop(const Runner& runner, const RunKey& key) const {
+    return {{runner.info.vm, runner.info.address},
+            key.job_key,
+            key.task_id,
+            key.run,
+            runner.fence,
+            settings_.order_timeout};
+  }
   void SendStrangerStop(const RunnerPointer& runner, const RunKey& key);
   void SendHold(const RunnerPointer& runner);
   void OnHoldReply(const RunnerPointer& runner,
@@ -242,9 +251,7 @@
   }
 }
 
-void LeasedUpstreamClient::Impl::LearnClock(Runner& runner,
-                                            int64_t clock_ms,
-                                            absl::Time sent) {
+void LeasedUpstreamClient::Impl::LearnClock(Runner& runner, int64_t clock_ms) {
   if (clock_ms > 0) {
     // The clock of a new life starts anew, and no lease is longer than the
     // longest one.
@@ -253,7 +260,6 @@
           clock_ms + absl::ToInt64Milliseconds(settings_.max_lease);
     }
     runner.clock_ms = clock_ms;
-    runner.clock_sent = sent;
     runner.clock_received = Now();
   }
 }
@@ -296,8 +302,6 @@
   Run run;
   run.callback = std::move(callback);
   run.started = now;
-  run.expected_end = now + expected;
-  run.send_by = std::min(start.start_by_monotonic, now + kMinLease / 2);
   runner->runs[key] = std::move(run);
   StartOrder order;
   order.runner = {runner->info.vm, runner->info.address};
@@ -309,19 +313,18 @@
       LeaseUntil(*runner, std::max(kMinLease, expected * kLeaseFactor));
   order.fence = runner->fence;
   order.timeout = settings_.order_timeout;
-  order.send_by = runner->runs[key].send_by;
+  order.send_by = std::min(start.start_by_monotonic, now + kMinLease / 2);
   starts_.Add();
   transport_.Start(std::move(order),
-                   [this, runner, key, now](const OrderReply& reply) {
-                     OnStartReply(runner, key, now, reply);
+                   [this, runner, key](const OrderReply& reply) {
+                     OnStartReply(runner, key, reply);
                    });
 }
 
 void LeasedUpstreamClient::Impl::OnStartReply(const RunnerPointer& runner,
                                               const RunKey& key,
-                                              absl::Time sent,
                                               const OrderReply& reply) {
-  LearnClock(*runner, reply.clock_ms, sent);
+  LearnClock(*runner, reply.clock_ms);
   const auto it = runner->runs.find(key);
   if (it == runner->runs.end()) {
     return;
@@ -341,7 +344,7 @@
           runner->next_hold = std::min(runner->next_hold, Now());
         }
       }
-      if (run.stop_wanted && !run.stop_pending && !run.stop_done) {
+      if (run.NeedsStop()) {
         SendStop(runner, key, run);
       }
       break;
@@ -400,7 +403,7 @@
     }
     Run& run = it->second;
     run.stop_wanted = true;
-    if (run.phase != Phase::kStarting && !run.stop_pending && !run.stop_done) {
+    if (run.NeedsStop()) {
       SendStop(runner, key, run);
     }
     return;
@@ -412,40 +415,28 @@
                                           Run& run) {
   run.stop_pending = true;
   stops_.Add();
-  transport_.Stop({{runner->info.vm, runner->info.address},
-                   key.job_key,
-                   key.task_id,
-                   key.run,
-                   runner->fence,
-                   settings_.order_timeout},
-                  [this, runner, key](const OrderReply& reply) {
-                    const auto it = runner->runs.find(key);
-                    if (it == runner->runs.end()) {
-                      return;
-                    }
-                    Run& stopped = it->second;
-                    stopped.stop_pending = false;
-                    if (reply.status == OrderStatus::kDone) {
-                      stopped.stop_done = true;
-                      stopped.listed_after = Now() + settings_.stop_time;
-                      runner->next_hold =
-                          std::min(runner->next_hold, stopped.listed_after);
-                    } else {
-                      stopped.next_stop = Now() + kStopRetry;
-                    }
-                  });
+  transport_.Stop(
+      MakeStop(*runner, key), [this, runner, key](const OrderReply& reply) {
+        const auto it = runner->runs.find(key);
+        if (it == runner->runs.end()) {
+          return;
+        }
+        Run& stopped = it->second;
+        stopped.stop_pending = false;
+        if (reply.status == OrderStatus::kDone) {
+          stopped.stop_done = true;
+          stopped.listed_after = Now() + settings_.stop_time;
+          runner->next_hold = std::min(runner->next_hold, stopped.listed_after);
+        } else {
+          stopped.next_stop = Now() + kStopRetry;
+        }
+      });
 }
 
 void LeasedUpstreamClient::Impl::SendStrangerStop(const RunnerPointer& runner,
                                                   const RunKey& key) {
   stops_.Add();
-  transport_.Stop({{runner->info.vm, runner->info.address},
-                   key.job_key,
-                   key.task_id,
-                   key.run,
-                   runner->fence,
-                   settings_.order_timeout},
-                  [](const OrderReply&) {});
+  transport_.Stop(MakeStop(*runner, key), [](const OrderReply&) {});
 }
 
 void LeasedUpstreamClient::Impl::SendHold(const RunnerPointer& runner) {
@@ -490,7 +481,7 @@
                                              const HoldReply& reply) {
   // A hold that waited says nothing about the instant at which the runner read
   // its clock, so the time of the answer bounds it from below.
-  LearnClock(*runner, reply.order.clock_ms, sent);
+  LearnClock(*runner, reply.order.clock_ms);
   const bool newest = number == runner->hold_number;
   if (newest) {
     runner->hold_pending = false;
@@ -667,8 +658,7 @@
     due = runner.hold_sent + kIdleAcknowledge;
   }
   for (const auto& [key, run] : runner.runs) {
-    if (run.stop_wanted && !run.stop_pending && !run.stop_done &&
-        run.phase != Phase::kStarting) {
+    if (run.NeedsStop()) {
       due = std::min(due, run.next_stop);
     }
     due = std::min(due, LapsesAt(runner, run));
@@ -680,8 +670,7 @@
                                             absl::Time now) {
   std::vector<RunKey> over;
   for (auto& [key, run] : runner->runs) {
-    if (run.stop_wanted && !run.stop_pending && !run.stop_done &&
-        run.phase != Phase::kStarting && run.next_stop <= now) {
+    if (run.NeedsStop() && run.next_stop <= now) {
       SendStop(runner, key, run);
     }
     if (LapsesAt(*runner, run) <= now) {
