Notice a lost watch of the store in time, and bound the whole log

A watch of the store waits 20 s; a call that the store swallowed while it was silent was missed for as long. The fleet test hid it with a wait of 2 s of its own and a store that answers calls that it had lost. Ruled out: a full answer of the feed (350 rows, limit 500); the pace of looks (400 ms). Change: watches of runners wait 0.5 s, those of the configuration 2 s. WorldStore can be silent; the fleet uses the daemon's own settings. Before: StoreWasSilentLeavingRunnersAndConfigurationAreLearned fails (starts on all runners that leave, old configuration after 2 s).

Log: a process whose output is blocked hung at its stop until it was killed (LogTest.FullPipe: no stop within 60 s); the sink now polls the output and gives up 0.5 s after the stop. Each message has a budget of 50 lines a second (runner and peer lines had none), a history 60 events, and lines that do not fit into the queue are counted (radishrail_log_lines_dropped).

--- a/include/radishrail/decision_log.h
+++ b/include/radishrail/decision_log.h
@@ -1,13 +1,14 @@
 #ifndef RADISHRAIL_DECISION_LOG_H_
 #define RADISHRAIL_DECISION_LOG_H_
 
-#include <array>
-#include <cstdint>
+#include <cstddef>
 #include <initializer_list>
 #include <string_view>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "radishrail/clock.h"
+#include "radishrail/line_budget.h"
 #include "radishrail/log.h"
 #include "radishrail/metrics.h"
 #include "radishrail/timeline.h"
@@ -36,6 +37,8 @@
 class DecisionLog {
  public:
   static constexpr int kLinesPerSecond = 20;
+  // Events of a request that its history shows, the newest ones.
+  static constexpr size_t kHistoryEvents = 60;
 
   DecisionLog(const Clock& clock, Metrics& metrics);
 
@@ -49,17 +52,14 @@
   void WriteHistory(std::string_view request, const Timeline& timeline);
 
  private:
-  struct Budget {
-    absl::Time second;
-    int lines = 0;
-    uint64_t left_out = 0;
-  };
-
+  LineBudget& BudgetOf(Decision decision) {
+    return budgets_[static_cast<size_t>(decision)];
+  }
   bool Spend(Decision decision);
 
   const Clock& clock_;
   Counter& left_out_;
-  std::array<Budget, static_cast<size_t>(Decision::kMaxValue) + 1> budgets_;
+  std::vector<LineBudget> budgets_;  // one for each decision
 };
 
 }  // namespace radishrail
--- a/include/radishrail/log.h
+++ b/include/radishrail/log.h
@@ -1,13 +1,16 @@
 #ifndef RADISHRAIL_LOG_H_
 #define RADISHRAIL_LOG_H_
 
+#include <cstddef>
 #include <initializer_list>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
-#include <vector>
 
+#include "absl/time/time.h"
 #include "radishrail/error.h"
+#include "radishrail/metrics.h"
 
 namespace radishrail {
 
@@ -23,21 +26,34 @@
 
 // Starts JSON-lines logging to standard output; `process` is in every line. A
 // thread writes the lines, so that a blocked output blocks nothing else; lines
-// beyond a queue of `kLogQueueLines` are dropped.
+// beyond a queue of `kLogQueueLines` are dropped and counted.
 inline constexpr size_t kLogQueueLines = 4096;
 void InitLogging(LogLevel level, std::string process);
-// Writes the lines that are queued and stops the thread.
+// Writes the queued lines and stops the thread; lines that a blocked output
+// does not take within `kLogStopTimeout` are lost.
+inline constexpr absl::Duration kLogStopTimeout = absl::Milliseconds(500);
 void StopLogging();
+// Sets the gauge of the lines that were dropped since the start.
+void RecordDroppedLogLines(Metrics& metrics);
 
-// Writes one JSON line. Never pass tokens or payloads.
+// Writes one JSON line. Each message has a budget of `kLogLinesPerSecond`; the
+// next line after that says how many were left out. Never pass tokens or
+// payloads.
+inline constexpr int kLogLinesPerSecond = 50;
 void Log(LogLevel level,
          std::string_view message,
          std::initializer_list<LogField> fields = {});
-void Log(LogLevel level,
-         std::string_view message,
-         const std::vector<LogField>& fields);
 void LogFailure(std::string_view message, const Error& error);
 
+namespace internal {
+
+// Writes a line without a budget; the caller limits the number of lines.
+void WriteLogLine(LogLevel level,
+                  std::string_view message,
+                  std::span<const LogField> fields);
+
+}  // namespace internal
+
 }  // namespace radishrail
 
 #endif  // RADISHRAIL_LOG_H_
--- a/include/radishrail/pool_node.h
+++ b/include/radishrail/pool_node.h
@@ -39,8 +39,11 @@
   std::string failure_domain;
   std::string peer_address;
   LeaseSettings lease;
-  // Longest time that a watch of the store waits.
-  absl::Duration watch_wait = absl::Seconds(20);
+  // Longest times that a watch of the store waits for a change. A call that is
+  // lost in a silent store or connection is noticed only when its time is over;
+  // runners that leave and new configurations must be known within 2 s.
+  absl::Duration runner_watch_wait = absl::Milliseconds(500);
+  absl::Duration document_watch_wait = absl::Seconds(2);
   // Time in which the balancer notices that the daemon is not ready.
   absl::Duration drain_balancer_delay = absl::Seconds(2);
   absl::Duration drain_timeout = absl::Seconds(2);
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -8,6 +8,7 @@
 #include "http_json.h"
 #include "radishrail/document.h"
 #include "radishrail/job_json.h"
+#include "radishrail/log.h"
 
 namespace radishrail {
 
@@ -91,6 +92,7 @@
     return true;
   }
   if (request.path == "/metrics") {
+    RecordDroppedLogLines(metrics_);
     HttpResponse response = JsonResponse(200, metrics_.Render());
     response.content_type = "text/plain; version=0.0.4";
     respond(std::move(response));
--- a/src/decision_log.cc
+++ b/src/decision_log.cc
@@ -1,7 +1,8 @@
 #include "radishrail/decision_log.h"
 
+#include <array>
+#include <cstdint>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
@@ -25,21 +26,14 @@
 DecisionLog::DecisionLog(const Clock& clock, Metrics& metrics)
     : clock_(clock),
       left_out_(metrics.counter("radishrail_log_lines_left_out_total",
-                                "Log lines beyond the budget of their kind")) {}
+                                "Log lines beyond the budget of their kind")),
+      budgets_(kNames.size(), LineBudget(kLinesPerSecond)) {}
 
 bool DecisionLog::Spend(Decision decision) {
-  Budget& budget = budgets_[static_cast<size_t>(decision)];
-  const absl::Time now = clock_.Monotonic();
-  if (now - budget.second >= absl::Seconds(1)) {
-    budget.second = now;
-    budget.lines = 0;
-  }
-  if (budget.lines >= kLinesPerSecond) {
-    ++budget.left_out;
+  if (!BudgetOf(decision).Spend(clock_.Monotonic())) {
     left_out_.Add();
     return false;
   }
-  ++budget.lines;
   return true;
 }
 
@@ -53,12 +47,11 @@
   std::vector<LogField> all = {{"request", std::string(request)},
                                {"outcome", std::string(outcome)}};
   all.insert(all.end(), fields.begin(), fields.end());
-  Budget& budget = budgets_[static_cast<size_t>(decision)];
-  if (budget.left_out > 0) {
-    all.push_back(
-        {"left_out", absl::StrCat(std::exchange(budget.left_out, 0))});
+  const uint64_t left_out = BudgetOf(decision).TakeLeftOut();
+  if (left_out > 0) {
+    all.push_back({"left_out", absl::StrCat(left_out)});
   }
-  Log(LogLevel::kInfo, DecisionName(decision), all);
+  internal::WriteLogLine(LogLevel::kInfo, DecisionName(decision), all);
 }
 
 void DecisionLog::WriteHistory(std::string_view request,
@@ -66,16 +59,21 @@
   if (!Spend(Decision::kJobHistory)) {
     return;
   }
-  for (const auto& it : timeline.Select(request, absl::InfinitePast())) {
-    Log(LogLevel::kInfo, DecisionName(Decision::kJobHistory),
-        std::vector<LogField>{
-            {"request", std::string(request)},
-            {"outcome", std::string(EventTypeName(it.type))},
-            {"at", absl::FormatTime(absl::RFC3339_full, it.wall,
-                                    absl::UTCTimeZone())},
-            {"task", it.task},
-            {"upstream", it.upstream},
-            {"cause", it.cause}});
+  const auto events = timeline.Select(request, absl::InfinitePast());
+  const size_t first =
+      events.size() > kHistoryEvents ? events.size() - kHistoryEvents : 0;
+  for (size_t i = first; i < events.size(); ++i) {
+    const auto& it = events[i];
+    const std::vector<LogField> fields = {
+        {"request", std::string(request)},
+        {"outcome", std::string(EventTypeName(it.type))},
+        {"at", absl::FormatTime(absl::RFC3339_full, it.wall,
+                                absl::UTCTimeZone())},
+        {"task", it.task},
+        {"upstream", it.upstream},
+        {"cause", it.cause}};
+    internal::WriteLogLine(LogLevel::kInfo, DecisionName(Decision::kJobHistory),
+                           fields);
   }
 }
 
--- a/src/log.cc
+++ b/src/log.cc
@@ -1,23 +1,30 @@
 #include "radishrail/log.h"
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <array>
-#include <boost/core/null_deleter.hpp>
+#include <atomic>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
-#include <boost/log/sinks/drop_on_overflow.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
-#include <iostream>
+#include <cerrno>
+#include <climits>
+#include <mutex>
 #include <nlohmann/json.hpp>
-#include <span>
+#include <vector>
 
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
-#include "absl/time/time.h"
 #include "name_table.h"
+#include "radishrail/line_budget.h"
 
 namespace radishrail {
 
@@ -28,15 +35,83 @@
 
 BOOST_LOG_ATTRIBUTE_KEYWORD(severity, "Severity", int)
 
-using Backend = boost::log::sinks::text_ostream_backend;
-using Sink = boost::log::sinks::asynchronous_sink<
-    Backend,
-    boost::log::sinks::bounded_fifo_queue<kLogQueueLines,
-                                          boost::log::sinks::drop_on_overflow>>;
+// Longest time between two looks at whether logging stops.
+constexpr absl::Duration kOutputPoll = absl::Milliseconds(100);
+
+std::atomic<uint64_t> dropped_lines{0};
+
+// Drops lines that do not fit into the queue.
+class CountOnOverflow {
+ public:
+  template <typename Lock>
+  static bool on_overflow(const boost::log::record_view&, Lock&) {
+    ++dropped_lines;
+    return false;
+  }
+  static void on_queue_space_available() {}
+  static void interrupt() {}
+};
+
+// Writes lines to standard output. It waits with `poll`, since a `write` to a
+// full pipe could not be given up when the process stops.
+class OutputBackend
+    : public boost::log::sinks::basic_formatted_sink_backend<char> {
+ public:
+  void consume(const boost::log::record_view&, const std::string& line) {
+    const std::string text = line + '\n';
+    size_t written = 0;
+    while (written < text.size()) {
+      if (!WaitUntilWritable()) {
+        ++dropped_lines;
+        return;
+      }
+      // A pipe that polls as writable takes this much without blocking.
+      const ssize_t n = write(STDOUT_FILENO, text.data() + written,
+                              std::min<size_t>(text.size() - written, PIPE_BUF));
+      if (n < 0 && errno != EINTR && errno != EAGAIN) {
+        ++dropped_lines;
+        return;
+      }
+      written += n > 0 ? static_cast<size_t>(n) : 0;
+    }
+  }
+  void StopAt(absl::Time deadline) { deadline_ = deadline; }
+
+ private:
+  // False if logging stops before the output takes more.
+  bool WaitUntilWritable() const {
+    while (true) {
+      pollfd output = {STDOUT_FILENO, POLLOUT, 0};
+      const absl::Duration left =
+          std::clamp(deadline_.load() - absl::Now(), absl::ZeroDuration(),
+                     kOutputPoll);
+      if (poll(&output, 1, static_cast<int>(absl::ToInt64Milliseconds(left))) >
+          0) {
+        return true;
+      }
+      if (absl::Now() >= deadline_.load()) {
+        return false;
+      }
+    }
+  }
+
+  std::atomic<absl::Time> deadline_ = absl::InfiniteFuture();
+};
 
-boost::shared_ptr<Sink>& CurrentSink() {
-  static auto* sink = new boost::shared_ptr<Sink>();
-  return *sink;
+using Sink = boost::log::sinks::asynchronous_sink<
+    OutputBackend,
+    boost::log::sinks::bounded_fifo_queue<kLogQueueLines, CountOnOverflow>>;
+
+// The frontend locks its backend while a line is written, so that the backend
+// is reached by a pointer of its own.
+struct Output {
+  boost::shared_ptr<OutputBackend> backend;
+  boost::shared_ptr<Sink> sink;
+};
+
+Output& CurrentOutput() {
+  static auto* output = new Output();
+  return *output;
 }
 
 std::string& ProcessName() {
@@ -58,31 +133,38 @@
   namespace logging = boost::log;
   ProcessName() = std::move(process);
   logging::core::get()->remove_all_sinks();
-  auto backend = boost::make_shared<Backend>();
-  backend->add_stream(
-      boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
-  backend->auto_flush(true);
-  CurrentSink() = boost::make_shared<Sink>(backend);
-  CurrentSink()->set_formatter(logging::expressions::stream
-                               << logging::expressions::smessage);
-  logging::core::get()->add_sink(CurrentSink());
+  Output& output = CurrentOutput();
+  output.backend = boost::make_shared<OutputBackend>();
+  output.sink = boost::make_shared<Sink>(output.backend);
+  output.sink->set_formatter(logging::expressions::stream
+                             << logging::expressions::smessage);
+  logging::core::get()->add_sink(output.sink);
   logging::core::get()->set_filter(severity >= static_cast<int>(level));
 }
 
 void StopLogging() {
-  if (CurrentSink() != nullptr) {
-    boost::log::core::get()->remove_sink(CurrentSink());
-    CurrentSink()->stop();
-    CurrentSink()->flush();
-    CurrentSink().reset();
+  Output& output = CurrentOutput();
+  if (output.sink != nullptr) {
+    boost::log::core::get()->remove_sink(output.sink);
+    output.backend->StopAt(absl::Now() + kLogStopTimeout);
+    output.sink->stop();
+    output.sink->flush();
+    output = {};
   }
 }
 
-namespace {
+void RecordDroppedLogLines(Metrics& metrics) {
+  metrics
+      .gauge("radishrail_log_lines_dropped",
+             "Log lines that a blocked output did not take")
+      .Set(static_cast<int64_t>(dropped_lines.load()));
+}
+
+namespace internal {
 
-void WriteLine(LogLevel level,
-               std::string_view message,
-               std::span<const LogField> fields) {
+void WriteLogLine(LogLevel level,
+                  std::string_view message,
+                  std::span<const LogField> fields) {
   static auto* logger = new boost::log::sources::severity_logger_mt<int>();
   nlohmann::ordered_json line;
   line["time"] =
@@ -98,18 +180,36 @@
       << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-}  // namespace
+}  // namespace internal
 
-void Log(LogLevel level,
-         std::string_view message,
-         std::initializer_list<LogField> fields) {
-  WriteLine(level, message, {fields.begin(), fields.size()});
+namespace {
+
+// Lines left out before this one; nullopt if the budget of the message is
+// spent. Messages are literals, so that their number is bounded.
+std::optional<uint64_t> SpendBudget(std::string_view message) {
+  static auto* mutex = new std::mutex();
+  static auto* budgets = new absl::flat_hash_map<std::string, LineBudget>();
+  const std::lock_guard lock(*mutex);
+  LineBudget& budget =
+      budgets->try_emplace(std::string(message), kLogLinesPerSecond).first->second;
+  return budget.Spend(absl::Now()) ? std::optional(budget.TakeLeftOut())
+                                   : std::nullopt;
 }
 
+}  // namespace
+
 void Log(LogLevel level,
          std::string_view message,
-         const std::vector<LogField>& fields) {
-  WriteLine(level, message, fields);
+         std::initializer_list<LogField> fields) {
+  const auto left_out = SpendBudget(message);
+  if (!left_out.has_value()) {
+    return;
+  }
+  std::vector<LogField> all(fields);
+  if (*left_out > 0) {
+    all.push_back({"left_out", absl::StrCat(*left_out)});
+  }
+  internal::WriteLogLine(level, message, all);
 }
 
 void LogFailure(std::string_view message, const Error& error) {
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -131,7 +131,7 @@
             env.metrics,
             log_),
         runner_watcher_(codec_.runner_prefix,
-                        settings.watch_wait,
+                        settings.runner_watch_wait,
                         env.store,
                         env.executor,
                         env.random,
@@ -139,7 +139,7 @@
                           OnRunnerRows(rows, whole);
                         }),
         document_watcher_(codec_.documents_key,
-                          settings.watch_wait,
+                          settings.document_watch_wait,
                           env.store,
                           env.executor,
                           env.random,
--- a/tests/pool_fleet.h
+++ b/tests/pool_fleet.h
@@ -159,7 +159,6 @@
     settings.vm = name;
     settings.failure_domain = daemon.domain;
     settings.peer_address = name;
-    settings.watch_wait = absl::Seconds(2);
     daemon.node = std::make_unique<PoolNode>(
         settings, Codec(), daemon.incarnation,
         PoolNodeEnvironment{clock, random_, *daemon.pumped, *daemon.store,
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -143,6 +143,33 @@
   EXPECT_THAT(fleet_.log.starts, IsEmpty());
 }
 
+// Guards against a watch whose call was lost in a silent store and that is
+// missed for so long that tasks start on runners that leave, and that an old
+// configuration stays in force. Both are due 2 s after the store's return and
+// the 3 s until daemons count as in touch.
+TEST_F(PoolFleetTest, StoreWasSilentLeavingRunnersAndConfigurationAreLearned) {
+  const auto set_silent = [this](bool silent) {
+    for (const auto& it : fleet_.Names()) {
+      fleet_.daemon(it).store->silent = silent;
+    }
+  };
+  set_silent(true);
+  fleet_.loop.RunFor(absl::Seconds(4));
+  set_silent(false);
+  fleet_.loop.RunFor(absl::Seconds(3));
+  fleet_.PutConfig(5, {"svc", "other"});
+  for (const auto& it : fleet_.RunnerNames()) {
+    fleet_.PutRunner(it, "draining");
+  }
+  fleet_.loop.RunFor(absl::Seconds(2));
+  for (const auto& it : fleet_.Names()) {
+    EXPECT_NE(fleet_.daemon(it).node->FindRoute("host", "/other/x"), nullptr);
+  }
+  SubmitMany(4, absl::Milliseconds(50));
+  fleet_.loop.RunFor(absl::Seconds(2));
+  EXPECT_THAT(fleet_.log.starts, IsEmpty());
+}
+
 // Guards against configurations that go backwards or do not arrive.
 TEST_F(PoolFleetTest, NewConfigurationIsInForceWithinTwoSeconds) {
   fleet_.PutConfig(5, {"svc", "other"});
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -472,12 +472,15 @@
       : rows_(rows), loop_(loop), daemon_(daemon) {}
 
   bool reachable = true;
+  // Calls that the store receives meanwhile are never answered, also when it is
+  // back.
+  bool silent = false;
   bool lose_answers = false;  // of writes, which are carried out
   bool dead = false;
 
   void Read(const std::string& key, ReadCallback callback) override {
     Call([this, key, callback = std::move(callback)] {
-      if (!reachable) {
+      if (!reachable || silent) {
         callback(std::nullopt, Unavailable());
         return;
       }
@@ -487,7 +490,7 @@
   }
   void List(const std::string& prefix, ListCallback callback) override {
     Call([this, prefix, callback = std::move(callback)] {
-      if (reachable) {
+      if (reachable && !silent) {
         callback(rows_.Select(prefix, 0).rows, {});
       } else {
         callback(std::nullopt, Unavailable());
@@ -495,7 +498,7 @@
     });
   }
   void Transact(Transaction transaction, TransactCallback callback) override {
-    if (reachable) {
+    if (reachable && !silent) {
       loop_.PostDelayed(kDelay, [this, transaction = std::move(transaction),
                                  callback = std::move(callback)] {
         const bool committed = Commit(transaction);
@@ -529,7 +532,7 @@
   }
   void Snapshot(const std::string& prefix, WatchCallback callback) override {
     Call([this, prefix, callback = std::move(callback)] {
-      if (reachable) {
+      if (reachable && !silent) {
         callback(rows_.Select(prefix, 0), {});
       } else {
         callback(std::nullopt, Unavailable());
@@ -541,6 +544,11 @@
              absl::Duration wait,
              WatchCallback callback) override {
     Call([this, prefix, version, wait, callback = std::move(callback)] {
+      if (silent) {
+        Call([callback] { callback(std::nullopt, Unavailable()); },
+             wait + kCallTimeout);
+        return;
+      }
       if (!reachable) {
         callback(std::nullopt, Unavailable());
         return;
@@ -561,14 +569,15 @@
  private:
   static constexpr absl::Duration kDelay = absl::Milliseconds(2);
   static constexpr absl::Duration kPoll = absl::Milliseconds(20);
+  static constexpr absl::Duration kCallTimeout = absl::Seconds(1);
 
   static Error Unavailable() {
     return {ErrorCode::kPlatformUnavailable, Step::kPlatformRead, "platform",
             "cut off by the test"};
   }
 
-  void Call(std::function<void()> call) {
-    daemon_.PostDelayed(2 * kDelay, [this, call = std::move(call)] {
+  void Call(std::function<void()> call, absl::Duration delay = 2 * kDelay) {
+    daemon_.PostDelayed(delay, [this, call = std::move(call)] {
       if (!dead) {
         call();
       }
