Add a fault soak with real daemons as processes

Change: tools/soak starts daemons, stand-ins of the platform's table and of runners (the fleet test's model behind HTTP) and a loopback proxy on all links, and harms them from outside: kill, pause, graceful stop, reload, store that refuses, is slow, loses answers or its history, links that are delayed, cut one way, silent or reset, runners that crash, fail, drain or are late. It checks two runs at a time, starts that nobody asked for, true refusals, whole answers, configurations that go back or are late, starts on runners that leave, requests cut off by planned work, processes that end by themselves or do not stop, and service after the faults. Peers are reached through the proxy by the new setting `advertised_peer_address`.

--- a/benchmark/log_benchmark.cc
+++ b/benchmark/log_benchmark.cc
@@ -20,11 +20,15 @@
 }
 
 const std::vector<LogField>& Fields() {
-  static auto* fields = new std::vector<LogField>{
-      {"request", "5c0e7a21d94b36f8"}, {"outcome", "tacoma-yard"},
-      {"owner", "edge-tacoma-yard-1"}, {"slots_wanted", "318"},
-      {"slots", "4736"},               {"busy_slots", "4043"},
-      {"backlog_ms", "5"},             {"load_age_ms", "5"}};
+  static auto* fields =
+      new std::vector<LogField>{{"request", "5c0e7a21d94b36f8"},
+                                {"outcome", "tacoma-yard"},
+                                {"owner", "edge-tacoma-yard-1"},
+                                {"slots_wanted", "318"},
+                                {"slots", "4736"},
+                                {"busy_slots", "4043"},
+                                {"backlog_ms", "5"},
+                                {"load_age_ms", "5"}};
   return *fields;
 }
 
--- a/include/radishrail/settings.h
+++ b/include/radishrail/settings.h
@@ -23,6 +23,8 @@
   std::string caller_address = "127.0.0.1:7300";
   std::string operator_address = "127.0.0.1:7301";
   std::string peer_address = "127.0.0.1:7302";
+  // Address that peers use, where it differs from the listener's.
+  std::string advertised_peer_address;
   std::string ready_address = "127.0.0.1:7303";
   int caller_threads = 4;
   int upstream_threads = 4;
@@ -55,6 +57,13 @@
   absl::Duration idle_timeout = absl::Seconds(10);
 };
 
+// The address under which peers reach the daemon.
+inline const std::string& PeerAddressForPeers(const Settings& settings) {
+  return settings.advertised_peer_address.empty()
+             ? settings.peer_address
+             : settings.advertised_peer_address;
+}
+
 // Reads a settings file. An error names file, section, key, line and what is
 // allowed; unknown keys and sections are errors.
 std::optional<Settings> LoadSettings(const std::string& path, Error* error);
--- a/src/decision_log.cc
+++ b/src/decision_log.cc
@@ -67,8 +67,8 @@
     const std::vector<LogField> fields = {
         {"request", std::string(request)},
         {"outcome", std::string(EventTypeName(it.type))},
-        {"at", absl::FormatTime(absl::RFC3339_full, it.wall,
-                                absl::UTCTimeZone())},
+        {"at",
+         absl::FormatTime(absl::RFC3339_full, it.wall, absl::UTCTimeZone())},
         {"task", it.task},
         {"upstream", it.upstream},
         {"cause", it.cause}};
--- a/src/log.cc
+++ b/src/log.cc
@@ -66,8 +66,9 @@
         return;
       }
       // A pipe that polls as writable takes this much without blocking.
-      const ssize_t n = write(STDOUT_FILENO, text.data() + written,
-                              std::min<size_t>(text.size() - written, PIPE_BUF));
+      const ssize_t n =
+          write(STDOUT_FILENO, text.data() + written,
+                std::min<size_t>(text.size() - written, PIPE_BUF));
       if (n < 0 && errno != EINTR && errno != EAGAIN) {
         ++dropped_lines;
         return;
@@ -82,9 +83,8 @@
   bool WaitUntilWritable() const {
     while (true) {
       pollfd output = {STDOUT_FILENO, POLLOUT, 0};
-      const absl::Duration left =
-          std::clamp(deadline_.load() - absl::Now(), absl::ZeroDuration(),
-                     kOutputPoll);
+      const absl::Duration left = std::clamp(deadline_.load() - absl::Now(),
+                                             absl::ZeroDuration(), kOutputPoll);
       if (poll(&output, 1, static_cast<int>(absl::ToInt64Milliseconds(left))) >
           0) {
         return true;
@@ -191,7 +191,8 @@
   static auto* budgets = new absl::flat_hash_map<std::string, LineBudget>();
   const std::lock_guard lock(*mutex);
   LineBudget& budget =
-      budgets->try_emplace(std::string(message), kLogLinesPerSecond).first->second;
+      budgets->try_emplace(std::string(message), kLogLinesPerSecond)
+          .first->second;
   return budget.Spend(absl::Now()) ? std::optional(budget.TakeLeftOut())
                                    : std::nullopt;
 }
--- a/src/node.cc
+++ b/src/node.cc
@@ -52,7 +52,7 @@
   self.vm = settings.vm;
   self.incarnation = incarnation;
   self.failure_domain = settings.failure_domain;
-  self.peer_address = settings.peer_address;
+  self.peer_address = PeerAddressForPeers(settings);
   self.state = MemberState::kStarting;
   self.weight = settings.weight;
   return self;
--- a/tests/log_test.cc
+++ b/tests/log_test.cc
@@ -85,10 +85,10 @@
   });
   // Far beyond what either takes; a blocked one never ends.
   constexpr auto kHung = std::chrono::seconds(60);
-  const bool wrote = written.get_future().wait_for(kHung) ==
-                     std::future_status::ready;
-  const bool stop = stopped.get_future().wait_for(kHung) ==
-                    std::future_status::ready;
+  const bool wrote =
+      written.get_future().wait_for(kHung) == std::future_status::ready;
+  const bool stop =
+      stopped.get_future().wait_for(kHung) == std::future_status::ready;
   RestoreOutput();
   const auto lines = ReadLines();
   writer.join();
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -86,6 +86,9 @@
     }
     const std::string& text = violations.front();
     const size_t from = text.find("job");
+    if (from == std::string::npos) {
+      return TraceOf("violation:");
+    }
     return TraceOf(text.substr(from, text.find_first_of("/ ", from) - from));
   }
 };
@@ -94,7 +97,7 @@
 // fences, numbered ends, room for a number of tasks.
 class FakeRunner {
  public:
-  FakeRunner(EventLoop& loop, FakeClock& clock, RunLog& log, std::string name)
+  FakeRunner(Executor& loop, const Clock& clock, RunLog& log, std::string name)
       : loop_(loop), clock_(clock), log_(log), name_(std::move(name)) {}
 
   absl::Duration run_time = absl::Milliseconds(100);
@@ -297,8 +300,8 @@
     }
   }
 
-  EventLoop& loop_;
-  FakeClock& clock_;
+  Executor& loop_;
+  const Clock& clock_;
   RunLog& log_;
   const std::string name_;
   absl::Time started_ = clock_.Monotonic();
--- /dev/null
+++ b/tools/soak/main.cc
@@ -0,0 +1,118 @@
+#include <signal.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <string>
+
+#include "CLI/CLI.hpp"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "soak.h"
+
+namespace radishrail {
+namespace {
+
+constexpr int kFirstPort = 12000;
+// Processes that run at the same time use different ports.
+constexpr int kPortsOfAProcess = 200;
+constexpr int kPortRanges = 90;
+
+struct Options {
+  SoakOptions soak;
+  uint64_t first_seed = 1;
+  uint64_t seeds = 1;
+  double seconds = 15;
+  bool keep = false;
+};
+
+// True if the promises held.
+bool RunSeed(const Options& options, uint64_t seed) {
+  SoakOptions soak = options.soak;
+  soak.directory = absl::StrCat(options.soak.directory, "/seed-", seed);
+  std::filesystem::create_directories(soak.directory);
+  Error error;
+  std::optional<SoakResult> result;
+  {
+    Soak run(soak, seed);
+    result = run.Run(&error);
+  }
+  if (!result.has_value()) {
+    std::cout << "seed " << seed << ": not run: " << error.ToString() << "\n";
+    return false;
+  }
+  std::cout << "seed " << seed << ": "
+            << (result->violations.empty() ? "kept" : "BROKEN") << "; faults "
+            << result->faults << ", starts " << result->starts << ", answers: "
+            << absl::StrJoin(result->answers, ", ", absl::PairFormatter(" "))
+            << std::endl;
+  if (result->violations.empty()) {
+    if (!options.keep) {
+      std::filesystem::remove_all(soak.directory);
+    }
+    return true;
+  }
+  std::cout << "  first: " << result->violations.front()
+            << "\n  logs: " << soak.directory << "\n  again: soak --replay "
+            << seed << "\n"
+            << result->trace << std::endl;
+  return false;
+}
+
+int Run(Options options) {
+  options.soak.faults = absl::Seconds(options.seconds);
+  if (options.soak.directory.empty()) {
+    options.soak.directory =
+        absl::StrCat(std::filesystem::temp_directory_path().string(),
+                     "/radishrail-soak-", getpid());
+  }
+  if (options.soak.first_port == 0) {
+    options.soak.first_port =
+        kFirstPort + (getpid() % kPortRanges) * kPortsOfAProcess;
+  }
+  uint64_t broken = 0;
+  for (uint64_t i = 0; i < options.seeds; ++i) {
+    broken += RunSeed(options, options.first_seed + i) ? 0 : 1;
+  }
+  std::cout << options.seeds - broken << " passed, " << broken << " failed"
+            << std::endl;
+  return broken == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+}  // namespace
+}  // namespace radishrail
+
+int main(int argc, char** argv) {
+  signal(SIGPIPE, SIG_IGN);
+  radishrail::Options options;
+  CLI::App app(
+      "Runs daemons as processes, injects random faults from outside and "
+      "checks the promises.");
+  app.add_option("--daemon", options.soak.daemon_path, "program radishraild")
+      ->required()
+      ->check(CLI::ExistingFile);
+  app.add_option("--first-seed", options.first_seed)->capture_default_str();
+  app.add_option("--seeds", options.seeds, "number of seeds")
+      ->capture_default_str()
+      ->check(CLI::Range(1, 100000));
+  const auto* replay = app.add_option("--replay", options.first_seed,
+                                      "plays one seed and keeps its logs");
+  app.add_option("--seconds", options.seconds, "time with faults of a seed")
+      ->capture_default_str()
+      ->check(CLI::Range(1.0, 3600.0));
+  app.add_option("--daemons", options.soak.daemons)
+      ->capture_default_str()
+      ->check(CLI::Range(2, 48));
+  app.add_option("--runners", options.soak.runners)
+      ->capture_default_str()
+      ->check(CLI::Range(2, 200));
+  app.add_option("--directory", options.soak.directory,
+                 "for settings and logs; default: in the temporary directory");
+  app.add_option("--first-port", options.soak.first_port,
+                 "default: by the id of the process")
+      ->default_val(0);
+  CLI11_PARSE(app, argc, argv);
+  options.keep = replay->count() > 0;
+  return radishrail::Run(options);
+}
--- /dev/null
+++ b/tools/soak/runner_standin.cc
@@ -0,0 +1,199 @@
+#include "runner_standin.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+#include <type_traits>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "xxhash.h"
+
+namespace radishrail {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Unix milliseconds of the first life; each later one adds one.
+constexpr int64_t kFirstBorn = 1'700'000'000'000;
+// Two tasks of the soak's jobs fit.
+constexpr int64_t kCpu = 16'000;
+constexpr int64_t kMemoryMb = 32'768;
+constexpr std::string_view kInstanceHeader = "X-Expected-Instance";
+constexpr std::array<std::string_view, 6> kRunEnds = {
+    "done", "failed", "stopped", "lapsed", "broken", "alone"};
+
+HttpServerSettings ServerSettings() {
+  HttpServerSettings settings;
+  settings.idle_timeout = absl::Minutes(10);
+  settings.request_timeout = absl::InfiniteDuration();
+  settings.request_headers = {std::string(kInstanceHeader)};
+  return settings;
+}
+
+int StatusOf(OrderStatus status) {
+  constexpr int kOk = 200;
+  constexpr int kConflict = 409;
+  constexpr int kMisdirected = 421;
+  return status == OrderStatus::kDone        ? kOk
+         : status == OrderStatus::kOtherLife ? kMisdirected
+                                             : kConflict;
+}
+
+std::string_view ReasonOf(OrderStatus status) {
+  switch (status) {
+    case OrderStatus::kFenced:
+      return "fence";
+    case OrderStatus::kStale:
+      return "old";
+    case OrderStatus::kLate:
+      return "late";
+    default:
+      return "room";
+  }
+}
+
+HttpResponse Respond(const OrderReply& reply, Json body) {
+  HttpResponse response;
+  response.status = StatusOf(reply.status);
+  body["clockMs"] = reply.clock_ms;
+  if (reply.status != OrderStatus::kDone) {
+    body["reason"] = ReasonOf(reply.status);
+  }
+  response.body = body.dump();
+  return response;
+}
+
+std::string TaskName(const std::string& job_key, const std::string& task_id) {
+  return absl::StrCat(job_key, ".", task_id);
+}
+
+// Fills the parts that all orders share.
+template <typename Order>
+Order MakeOrder(const HttpRequest& request, const Json& root) {
+  Order order;
+  order.runner.vm = std::string(request.Header(kInstanceHeader));
+  order.fence = root.value("fence", uint64_t{0});
+  if constexpr (!std::is_same_v<Order, HoldOrder>) {
+    const std::string task = root.value("task", "");
+    const size_t dot = task.find('.');
+    order.job_key = task.substr(0, dot);
+    order.task_id = task.substr(dot + 1);
+    order.run = root.value("run", uint32_t{0});
+  }
+  return order;
+}
+
+}  // namespace
+
+RunnerStandin::RunnerStandin(ControlLoop& loop,
+                             const Clock& clock,
+                             RunLog& log,
+                             TableStandin& table,
+                             std::string name,
+                             std::string zone,
+                             StartCheck check)
+    : loop_(loop),
+      log_(log),
+      table_(table),
+      zone_(std::move(zone)),
+      check_(std::move(check)),
+      model_(loop, clock, log, name),
+      random_(XXH64(name.data(), name.size(), 0)),
+      server_(
+          ServerSettings(),
+          [this](const HttpRequest& request, const HttpResponder& respond) {
+            loop_.Post([this, request, respond] { Handle(request, respond); });
+          }) {}
+
+void RunnerStandin::WriteEntry() {
+  const Json entry = {
+      {"service", "svc"},
+      {"address", entry_},
+      {"zone", zone_},
+      {"version", "1"},
+      {"slots", 8},
+      {"state", draining_since_.has_value() ? "draining" : "ready"},
+      {"coldRemainingMs", 0},
+      {"seq", ++heartbeats_},
+      {"born", kFirstBorn + model_.incarnation},
+      {"capacity", {{"cpu", kCpu}, {"memMb", kMemoryMb}, {"gpu", 0}}}};
+  table_.Put(absl::StrCat("servers/", model_.name()), entry.dump());
+}
+
+void RunnerStandin::Crash() {
+  model_.Crash();
+  WriteEntry();
+}
+
+void RunnerStandin::SetDraining(bool draining) {
+  if (draining) {
+    draining_since_ = absl::Now();
+  } else {
+    draining_since_.reset();
+  }
+  WriteEntry();
+}
+
+void RunnerStandin::Handle(const HttpRequest& request,
+                           const HttpResponder& respond) {
+  const Json root = Json::parse(request.body, nullptr, false);
+  if (request.path == "/run-start") {
+    auto order = MakeOrder<StartOrder>(request, root);
+    order.payload = root.value("spec", "");
+    order.lease_until_ms = root.value("deadlineMs", int64_t{0});
+    if (late_by == absl::ZeroDuration()) {
+      StartRun(std::move(order), respond);
+      return;
+    }
+    // The caller gets no answer; its time limit ends the connection.
+    // A new life of the runner knows nothing of it (docs/platform.md, question
+    // 1).
+    loop_.PostDelayed(late_by,
+                      [this, order, respond, life = model_.incarnation] {
+                        if (life == model_.incarnation) {
+                          model_.Start(order);
+                        }
+                        respond.CloseConnection();
+                      });
+  } else if (request.path == "/run-stop") {
+    respond(Respond(model_.Stop(MakeOrder<StopOrder>(request, root)), {}));
+  } else {
+    auto order = MakeOrder<HoldOrder>(request, root);
+    order.lease_until_ms = root.value("deadlineMs", int64_t{0});
+    order.last_seen = root.value("lastSeen", uint64_t{0});
+    order.wait = absl::Milliseconds(root.value("waitMs", int64_t{0}));
+    model_.Hold(order, [respond](const HoldReply& reply) {
+      Json running = Json::array();
+      for (const auto& it : reply.active) {
+        running.push_back({TaskName(it.job_key, it.task_id), it.run, "", 0});
+      }
+      Json ended = Json::array();
+      for (const auto& it : reply.ended) {
+        ended.push_back({it.number, TaskName(it.job_key, it.task_id), it.run,
+                         kRunEnds[static_cast<size_t>(it.end)], ""});
+      }
+      respond(Respond(reply.order, {{"born", kFirstBorn + reply.incarnation},
+                                    {"running", std::move(running)},
+                                    {"endedRuns", std::move(ended)}}));
+    });
+  }
+}
+
+void RunnerStandin::StartRun(StartOrder order, const HttpResponder& respond) {
+  model_.run_time = max_run_time * (0.1 + 0.9 * random_.Unit());
+  const int starts = log_.starts[order.job_key];
+  const OrderReply reply = model_.Start(order);
+  if (log_.starts[order.job_key] > starts) {
+    const std::string wrong = check_(order);
+    if (!wrong.empty()) {
+      log_.violations.push_back(absl::StrCat(order.job_key, "/", order.task_id,
+                                             " on ", model_.name(), ": ",
+                                             wrong));
+    }
+  }
+  respond(Respond(reply, Json::object()));
+}
+
+}  // namespace radishrail
--- /dev/null
+++ b/tools/soak/soak.cc
@@ -0,0 +1,709 @@
+#include "soak.h"
+
+#include <signal.h>
+#include <sys/wait.h>
+
+#include <algorithm>
+#include <fstream>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "absl/time/clock.h"
+
+namespace radishrail {
+
+namespace {
+
+constexpr absl::Duration kTick = absl::Milliseconds(10);
+constexpr absl::Duration kHeartbeat = absl::Milliseconds(500);
+constexpr absl::Duration kProbeInterval = absl::Milliseconds(300);
+// The users' bounds: clients' time limit and pause before they submit again,
+// time after a fault in which nothing is promised, time in which a new
+// configuration is in force and a leaving runner known, time of a graceful
+// stop, and of the recovery.
+constexpr absl::Duration kDeadline = absl::Milliseconds(1500);
+constexpr absl::Duration kResubmission = absl::Milliseconds(1300);
+constexpr int kMaxSubmissions = 4;
+constexpr absl::Duration kContact = absl::Seconds(3);
+constexpr absl::Duration kConfigBound = absl::Seconds(2);
+constexpr absl::Duration kDrainBound = absl::Seconds(2);
+constexpr absl::Duration kGrace = absl::Seconds(6);
+constexpr absl::Duration kRecovery = absl::Seconds(12);
+// A job that was answered may still have an order on its way, or a run under a
+// lease; none starts later than this.
+constexpr absl::Duration kAfterAnswer = absl::Seconds(3);
+// Service has recovered when this many jobs in a row are complete.
+constexpr int kRecoveredJobs = 15;
+constexpr absl::Duration kStartTime = absl::Seconds(8);
+// The machine that plays the soak may be slow to note an event.
+constexpr absl::Duration kNoteSlack = absl::Milliseconds(300);
+constexpr int kMaxFailures = 3;
+
+HttpClientSettings ClientSettings(const char* thread) {
+  HttpClientSettings settings;
+  settings.connections_per_host = 64;
+  // Clients keep using open connections.
+  settings.max_idle_time = absl::Seconds(60);
+  settings.thread_name = thread;
+  return settings;
+}
+
+absl::Duration Between(Random& random, int least_ms, int most_ms) {
+  return absl::Milliseconds(
+      least_ms + static_cast<int64_t>(
+                     random.Below(static_cast<uint64_t>(most_ms - least_ms))));
+}
+
+}  // namespace
+
+Soak::Soak(const SoakOptions& options, uint64_t seed)
+    : options_(options),
+      seed_(seed),
+      random_(seed),
+      loop_("soak"),
+      callers_(ClientSettings("callers"), loop_),
+      probes_(ClientSettings("probes"), loop_),
+      table_(loop_) {}
+
+Soak::~Soak() {
+  OnLoop([this] { stopped_ = true; });
+  for (const auto& it : daemons_) {
+    it->process.reset();
+  }
+  callers_.Stop();
+  probes_.Stop();
+  for (const auto& it : runners_) {
+    it->Stop();
+  }
+  table_.Stop();
+  proxy_.Stop();
+  loop_.Stop();
+}
+
+void Soak::OnLoop(const std::function<void()>& call) {
+  std::promise<void> done;
+  loop_.Post([&] {
+    call();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+bool Soak::Prepare(Error* error) {
+  if (!table_.Start(error)) {
+    return false;
+  }
+  for (int i = 0; i < options_.runners; ++i) {
+    const std::string zone = i % 2 == 0 ? "d1" : "d2";
+    auto runner = std::make_unique<RunnerStandin>(
+        loop_, clock_, log_, table_, absl::StrCat(zone, "r", i), zone,
+        [this, i](const StartOrder& order) {
+          return CheckStart(runners_[static_cast<size_t>(i)].get(), order);
+        });
+    if (!runner->Start(error)) {
+      return false;
+    }
+    const auto link = proxy_.AddLink(runner->address(), error);
+    if (!link.has_value()) {
+      return false;
+    }
+    runner->SetEntryAddress(proxy_.address(*link));
+    runners_.push_back(std::move(runner));
+    runner_links_.push_back(*link);
+  }
+  for (int i = 0; i < options_.daemons; ++i) {
+    auto daemon = std::make_unique<Daemon>();
+    daemon->zone = i % 2 == 0 ? "d1" : "d2";
+    daemon->name = absl::StrCat(daemon->zone, "n", i);
+    const auto port = [&](int n) {
+      return absl::StrCat("127.0.0.1:", options_.first_port + 4 * i + n);
+    };
+    daemon->front_address = port(0);
+    daemon->ready_address = port(2);
+    daemon->operator_address = port(3);
+    const auto front = proxy_.AddLink(port(0), error);
+    const auto peer = proxy_.AddLink(port(1), error);
+    const auto store = proxy_.AddLink(table_.address(), error);
+    if (!front || !peer || !store) {
+      return false;
+    }
+    daemon->front_link = *front;
+    daemon->peer_link = *peer;
+    daemon->store_link = *store;
+    const std::string stem =
+        absl::StrCat(options_.directory, "/", daemon->name);
+    daemon->process = std::make_unique<ChildProcess>(
+        std::vector<std::string>{options_.daemon_path, "--platform", "--config",
+                                 stem + ".ini"},
+        stem + ".log");
+    if (!WriteSettings(*daemon, error)) {
+      return false;
+    }
+    daemons_.push_back(std::move(daemon));
+  }
+  proxy_.Start();
+  return true;
+}
+
+bool Soak::WriteSettings(const Daemon& daemon, Error* error) const {
+  const std::string path =
+      absl::StrCat(options_.directory, "/", daemon.name, ".ini");
+  const size_t index = static_cast<size_t>(
+      std::find_if(daemons_.begin(), daemons_.end(),
+                   [&](const auto& it) { return it.get() == &daemon; }) -
+      daemons_.begin());
+  std::ofstream file(path);
+  file << "[daemon]\nvm = " << daemon.name
+       << "\nfailure_domain = " << daemon.zone
+       << "\nfailure_domains = d1,d2\ncaller_address = " << daemon.front_address
+       << "\nready_address = " << daemon.ready_address
+       << "\noperator_address = " << daemon.operator_address
+       << "\npeer_address = 127.0.0.1:"
+       << options_.first_port + 4 * static_cast<int>(index) + 1
+       << "\nadvertised_peer_address = " << proxy_.address(daemon.peer_link)
+       << "\n[platform]\naddress = " << proxy_.address(daemon.store_link)
+       << "\ntimeout = 1s\n[peers]\ncluster_key = soak-cluster-key\n"
+          "[operators]\ntoken = soak-operator-token\n"
+          "[lease]\nlength = 1s\nrenew_interval = 300ms\n"
+          "[drain]\nbalancer_delay = 2200ms\ntimeout = 2900ms\n"
+          "[requests]\nidle_timeout = 60s\n";
+  file.close();
+  if (!file) {
+    Fail(error, ErrorCode::kInternal, Step::kSettings,
+         "the settings could not be written", path);
+    return false;
+  }
+  return true;
+}
+
+void Soak::StartDaemon(Daemon& daemon) {
+  daemon.end_expected = false;
+  daemon.stop_by = absl::InfiniteFuture();
+  daemon.started = absl::Now();
+  daemon.version = 0;
+  if (!daemon.process->Start()) {
+    Violate(absl::StrCat(daemon.name, " could not be started"));
+  }
+}
+
+std::optional<SoakResult> Soak::Run(Error* error) {
+  if (!Prepare(error)) {
+    return std::nullopt;
+  }
+  OnLoop([this] {
+    PutConfig();
+    WriteHeartbeats();
+    for (const auto& it : daemons_) {
+      StartDaemon(*it);
+    }
+    submitting_ = false;
+    Tick();
+  });
+  const auto wait_until = [this](absl::Duration limit,
+                                 const std::function<bool()>& condition) {
+    const absl::Time deadline = absl::Now() + limit;
+    bool met = false;
+    while (!met && absl::Now() < deadline) {
+      absl::SleepFor(kTick);
+      OnLoop([&] { met = condition() || !log_.violations.empty(); });
+    }
+    return met;
+  };
+  if (!wait_until(kStartTime, [this] {
+        return std::all_of(daemons_.begin(), daemons_.end(),
+                           [](const auto& it) { return it->in_rotation; });
+      })) {
+    OnLoop([this] { Violate("the daemons are not ready in time"); });
+  }
+  OnLoop([this] {
+    submitting_ = true;
+    harming_ = true;
+  });
+  wait_until(options_.faults, [] { return false; });
+  OnLoop([this] { harming_ = false; });
+  // Faults end by themselves; recovery counts from the last one.
+  wait_until(absl::Seconds(30), [this] {
+    return unplanned_ == 0 &&
+           std::all_of(daemons_.begin(), daemons_.end(), [](const auto& it) {
+             return it->process->running() && !it->end_expected;
+           });
+  });
+  uint64_t first = 0;
+  const auto recovered = [&] {
+    int complete = 0;
+    for (uint64_t i = first; i < next_job_; ++i) {
+      const std::string& answer = jobs_[absl::StrCat("job", i)].answer;
+      if (!answer.empty()) {
+        complete = answer == "completed" ? complete + 1 : 0;
+      }
+    }
+    return complete >= kRecoveredJobs;
+  };
+  OnLoop([&] { first = next_job_; });
+  if (!wait_until(kRecovery, recovered)) {
+    OnLoop([this] { Violate("no service within the time of recovery"); });
+  }
+  OnLoop([this] { submitting_ = false; });
+  // Resubmissions and their runs end.
+  wait_until(kMaxSubmissions * (kDeadline + kResubmission), [this] {
+    return std::all_of(jobs_.begin(), jobs_.end(), [](const auto& it) {
+      return !it.second.answer.empty();
+    });
+  });
+  OnLoop([this] {
+    CheckAtEnd();
+    stopped_ = true;
+    result_.violations = log_.violations;
+    result_.trace = log_.TraceOfViolation();
+    for (const auto& [key, job] : jobs_) {
+      ++result_.answers[job.answer.empty() ? "none" : job.answer];
+      result_.starts += log_.starts[key];
+    }
+  });
+  return result_;
+}
+
+void Soak::Tick() {
+  if (stopped_) {
+    return;
+  }
+  const absl::Time now = absl::Now();
+  table_.Tick();
+  CheckProcesses();
+  if (next_heartbeat_ <= now) {
+    next_heartbeat_ = now + kHeartbeat;
+    WriteHeartbeats();
+  }
+  if (next_probe_ <= now) {
+    next_probe_ = now + kProbeInterval;
+    for (const auto& it : daemons_) {
+      Probe(*it);
+    }
+  }
+  if (submitting_ && next_job_at_ <= now) {
+    next_job_at_ = now + options_.pause * (0.5 + random_.Unit());
+    SubmitJob();
+  }
+  if (harming_ && next_fault_ <= now) {
+    next_fault_ = now + Between(random_, 200, 1500);
+    BeginFault();
+  }
+  loop_.PostDelayed(kTick, [this] { Tick(); });
+}
+
+void Soak::CheckProcesses() {
+  for (const auto& it : daemons_) {
+    Daemon& daemon = *it;
+    if (const auto status = daemon.process->TakeEnd()) {
+      daemon.in_rotation = false;
+      if (!daemon.end_expected) {
+        Violate(absl::StrCat(
+            daemon.name,
+            " ended by itself: ", WIFSIGNALED(*status) ? "signal " : "status ",
+            WIFSIGNALED(*status) ? WTERMSIG(*status) : WEXITSTATUS(*status)));
+      }
+      loop_.PostDelayed(Between(random_, 200, 1500), [this, &daemon] {
+        if (!stopped_) {
+          StartDaemon(daemon);
+        }
+      });
+    } else if (daemon.stop_by < absl::Now() && !daemon.paused) {
+      Violate(absl::StrCat(daemon.name, " did not stop gracefully in time"));
+      Kill(daemon);
+    }
+  }
+}
+
+// What the balancer and the metrics show; not through a link that may be
+// harmed.
+void Soak::Probe(Daemon& daemon) {
+  HttpClientRequest ready;
+  ready.address = daemon.ready_address;
+  ready.target = "/ready";
+  ready.timeout = kProbeInterval;
+  probes_.Send(std::move(ready), [&daemon](const HttpResult& result) {
+    daemon.in_rotation = result.status == 200;
+  });
+  HttpClientRequest metrics;
+  metrics.address = daemon.operator_address;
+  metrics.target = "/metrics";
+  metrics.timeout = kProbeInterval;
+  probes_.Send(std::move(metrics), [this, &daemon, started = daemon.started](
+                                       const HttpResult& result) {
+    if (result.status == 200 && started == daemon.started && !stopped_) {
+      OnMetrics(daemon, result.body);
+    }
+  });
+}
+
+void Soak::OnMetrics(Daemon& daemon, const std::string& text) {
+  constexpr std::string_view kGauge = "\nradishrail_document_version ";
+  const size_t at = text.find(kGauge);
+  int64_t version = 0;
+  if (at == std::string::npos ||
+      !absl::SimpleAtoi(
+          text.substr(at + kGauge.size(),
+                      text.find('\n', at + 1) - at - kGauge.size()),
+          &version)) {
+    return;
+  }
+  if (version < daemon.version) {
+    Violate(absl::StrCat(daemon.name, " went back from configuration ",
+                         daemon.version, " to ", version));
+  }
+  daemon.version = version;
+  const absl::Time now = absl::Now();
+  if (Calm() && now - daemon.started > kContact + kConfigBound &&
+      now - config_put_ > kConfigBound + kNoteSlack &&
+      version < config_version_) {
+    Violate(absl::StrCat(daemon.name, " has configuration ", version,
+                         " though ", config_version_, " is due"));
+  }
+}
+
+void Soak::WriteHeartbeats() {
+  for (const auto& it : runners_) {
+    it->WriteEntry();
+  }
+}
+
+void Soak::PutConfig() {
+  config_version_ += 1 + static_cast<int64_t>(random_.Below(5));
+  config_put_ = absl::Now();
+  const nlohmann::json route = {{"name", "queue"},          {"host", "host"},
+                                {"pathPrefix", "/queue/"},  {"service", "svc"},
+                                {"attempts", kMaxFailures}, {"stretch", 4},
+                                {"targetLatencyMs", 400}};
+  table_.Put("op/config", nlohmann::json{{"version", config_version_},
+                                         {"routes", {route}},
+                                         {"services", {{{"name", "svc"}}}},
+                                         {"limits", nlohmann::json::object()}}
+                              .dump());
+}
+
+void Soak::SubmitJob() {
+  const std::string key = absl::StrCat("job", next_job_++);
+  jobs_[key].tasks = 1 + static_cast<int>(random_.Below(4));
+  Send(key);
+}
+
+void Soak::Send(const std::string& key) {
+  Job& job = jobs_[key];
+  ++job.submissions;
+  std::vector<Daemon*> ready;
+  for (const auto& it : daemons_) {
+    if (it->in_rotation) {
+      ready.push_back(it.get());
+    }
+  }
+  Daemon& daemon =
+      ready.empty() ? AnyDaemon() : *ready[random_.Below(ready.size())];
+  const nlohmann::json step = {
+      {"count", job.tasks}, {"cpu", 8000}, {"memMb", 64}, {"estimateMs", 200}};
+  HttpClientRequest request;
+  request.method = "POST";
+  request.address = proxy_.address(daemon.front_link);
+  request.target = absl::StrCat("/queue/", key);
+  request.headers = {
+      "Host: host", "Content-Type: application/json",
+      absl::StrCat("X-Deadline-Ms: ", absl::ToInt64Milliseconds(kDeadline))};
+  request.body = nlohmann::json{
+      {"spec", absl::StrCat("spec of ", key)},
+      {"steps", {step}},
+      {"bestEffort",
+       true}}.dump();
+  request.timeout = kDeadline;
+  log_.Note(clock_, absl::StrCat(key, " submitted to ", daemon.name));
+  callers_.Send(std::move(request), [this, key, name = daemon.name,
+                                     calm = Calm()](const HttpResult& result) {
+    OnAnswer(key, name, calm && Calm(), result);
+  });
+}
+
+void Soak::OnAnswer(const std::string& key,
+                    const std::string& daemon,
+                    bool calm,
+                    const HttpResult& result) {
+  if (stopped_) {
+    return;
+  }
+  Job& job = jobs_[key];
+  log_.Note(clock_, absl::StrCat(key, " at ", daemon, ": status ",
+                                 result.status, " ", result.body.substr(0, 160),
+                                 " ", result.error.ToString()));
+  const auto answer = [&](std::string text) {
+    job.answer = std::move(text);
+    job.answered = absl::Now();
+  };
+  job.refused_only =
+      job.refused_only && (result.status == 429 || result.status == 503);
+  switch (result.status) {
+    case 200: {
+      const auto body = nlohmann::json::parse(result.body, nullptr, false);
+      const std::string state =
+          body.is_object() ? body.value("state", "") : std::string();
+      if (state == "completed") {
+        CheckComplete(key);
+      }
+      answer(state);
+      return;
+    }
+    case 429:
+    case 503:
+      answer("refused");
+      return;
+    case 0:
+    case 502:
+    case 504:
+      break;
+    default:
+      Violate(absl::StrCat(key, " got status ", result.status));
+      answer("unexpected");
+      return;
+  }
+  if (result.error.code == ErrorCode::kDeadlineExceeded ||
+      result.status == 504) {
+    answer("late");
+    return;
+  }
+  // Planned work cuts no request off. A connection that was refused has lost
+  // none.
+  if (calm && (result.status == 502 || result.may_have_been_sent)) {
+    Violate(absl::StrCat(key, " was cut off at ", daemon,
+                         " without an unplanned fault"));
+  }
+  if (job.submissions >= kMaxSubmissions) {
+    answer("given up");
+    return;
+  }
+  loop_.PostDelayed(kResubmission, [this, key] {
+    if (!stopped_) {
+      Send(key);
+    }
+  });
+}
+
+void Soak::CheckComplete(const std::string& key) {
+  for (int i = 0; i < jobs_[key].tasks; ++i) {
+    const std::string task = absl::StrCat(key, "/0.0.", i);
+    if (!log_.done.contains(task)) {
+      Violate(absl::StrCat(key, " is complete without task ", i));
+    }
+  }
+}
+
+std::string Soak::CheckStart(const RunnerStandin* runner,
+                             const StartOrder& order) {
+  const auto job = jobs_.find(order.job_key);
+  if (job == jobs_.end()) {
+    return "nobody submitted the job";
+  }
+  if (order.payload != absl::StrCat("spec of ", order.job_key)) {
+    return "another payload";
+  }
+  const absl::Time now = absl::Now();
+  if (now - job->second.answered > kAfterAnswer) {
+    return "a start long after the answer";
+  }
+  const auto draining = runner->draining_since();
+  if (draining.has_value() && Calm() &&
+      now - *draining > kDrainBound + kNoteSlack) {
+    return "a start on a runner that leaves";
+  }
+  return {};
+}
+
+bool Soak::Calm() const {
+  return unplanned_ == 0 && absl::Now() - last_unplanned_ > kContact;
+}
+
+void Soak::Violate(const std::string& what) {
+  log_.Note(clock_, absl::StrCat("violation: ", what));
+  log_.violations.push_back(what);
+}
+
+void Soak::CheckAtEnd() {
+  for (const auto& [key, job] : jobs_) {
+    if (job.refused_only && job.answer == "refused" && log_.starts[key] > 0) {
+      Violate(absl::StrCat(key, " was refused as not run, but ran"));
+    }
+    if (job.answer.empty()) {
+      Violate(absl::StrCat(key, " got no answer"));
+    }
+  }
+}
+
+void Soak::Kill(Daemon& daemon) {
+  daemon.end_expected = true;
+  daemon.process->Signal(SIGKILL);
+}
+
+void Soak::BeginFault() {
+  Fault fault = ChooseFault();
+  ++result_.faults;
+  log_.Note(clock_,
+            absl::StrCat("fault ", fault.name, " for ",
+                         absl::ToInt64Milliseconds(fault.length), " ms"));
+  fault.begin();
+  if (!fault.planned) {
+    ++unplanned_;
+  }
+  loop_.PostDelayed(fault.length, [this, fault = std::move(fault)] {
+    if (stopped_) {
+      return;
+    }
+    fault.end();
+    log_.Note(clock_, absl::StrCat("fault ", fault.name, " ends"));
+    if (!fault.planned) {
+      --unplanned_;
+      last_unplanned_ = absl::Now();
+    }
+  });
+}
+
+Soak::Fault Soak::ChooseFault() {
+  const uint64_t kind = random_.Below(20);
+  if (kind < 6) {
+    return DaemonFault(AnyDaemon(), kind);
+  }
+  if (kind < 10) {
+    return StoreFault(kind - 6);
+  }
+  const size_t n = random_.Below(runners_.size());
+  if (kind < 14) {
+    return RunnerFault(*runners_[n], kind - 10);
+  }
+  Daemon& daemon = AnyDaemon();
+  switch (kind) {
+    case 14:
+      return LinkFaultOn(runner_links_[n],
+                         absl::StrCat("link to ", runners_[n]->model().name()));
+    case 15:
+      return LinkFaultOn(
+          daemon.store_link,
+          absl::StrCat("link of ", daemon.name, " to the store"));
+    case 16:
+    case 17:
+      return LinkFaultOn(daemon.peer_link,
+                         absl::StrCat("link of peers to ", daemon.name));
+    case 18:
+      return LinkFaultOn(daemon.front_link,
+                         absl::StrCat("link of callers to ", daemon.name));
+    default:
+      return {"new configuration", absl::Milliseconds(1), true,
+              [this] { PutConfig(); }, [] {}};
+  }
+}
+
+Soak::Fault Soak::DaemonFault(Daemon& daemon, uint64_t kind) {
+  const absl::Duration length = Between(random_, 100, 3000);
+  switch (kind) {
+    case 0:
+      // The restart comes within 1.5 s, and the daemon needs time to start.
+      return {absl::StrCat("kill ", daemon.name), absl::Milliseconds(2500),
+              false, [this, &daemon] { Kill(daemon); }, [] {}};
+    case 1:
+      return {"kill of all daemons", absl::Milliseconds(2500), false,
+              [this] {
+                for (const auto& it : daemons_) {
+                  Kill(*it);
+                }
+              },
+              [] {}};
+    case 2:
+    case 3:
+      return {absl::StrCat("pause ", daemon.name), length, false,
+              [&daemon] {
+                daemon.paused = true;
+                daemon.process->Signal(SIGSTOP);
+              },
+              [&daemon] {
+                daemon.paused = false;
+                daemon.stop_by = std::max(daemon.stop_by, absl::Now() + kGrace);
+                if (!daemon.end_expected) {
+                  daemon.stop_by = absl::InfiniteFuture();
+                }
+                daemon.process->Signal(SIGCONT);
+              }};
+    case 4:
+      return {absl::StrCat("stop ", daemon.name), length, true,
+              [&daemon] {
+                if (!daemon.end_expected && daemon.process->running()) {
+                  daemon.end_expected = true;
+                  daemon.stop_by = absl::Now() + kGrace;
+                  daemon.process->Signal(SIGTERM);
+                }
+              },
+              [] {}};
+    default:
+      return {absl::StrCat("reload of ", daemon.name), length, true,
+              [&daemon] { daemon.process->Signal(SIGHUP); }, [] {}};
+  }
+}
+
+Soak::Fault Soak::StoreFault(uint64_t kind) {
+  const absl::Duration length = Between(random_, 300, 4000);
+  switch (kind) {
+    case 0:
+      return {"store refuses", length, false,
+              [this] { table_.faults.refusing = true; },
+              [this] { table_.faults.refusing = false; }};
+    case 1:
+      return {"store is slow", length, false,
+              [this] { table_.faults.delay = absl::Milliseconds(300); },
+              [this] { table_.faults.delay = absl::ZeroDuration(); }};
+    case 2:
+      return {"store loses answers", length, false,
+              [this] { table_.faults.losing = true; },
+              [this] { table_.faults.losing = false; }};
+    default:
+      return {"store drops its history", absl::Milliseconds(1), false,
+              [this] { table_.DropHistory(); }, [] {}};
+  }
+}
+
+Soak::Fault Soak::RunnerFault(RunnerStandin& runner, uint64_t kind) {
+  const absl::Duration length = Between(random_, 300, 5000);
+  const std::string& name = runner.model().name();
+  switch (kind) {
+    case 0:
+      return {absl::StrCat("crash of ", name), absl::Milliseconds(1), false,
+              [&runner] { runner.Crash(); }, [] {}};
+    case 1:
+      return {absl::StrCat(name, " fails all runs"), length, false,
+              [&runner] { runner.model().failing = true; },
+              [&runner] { runner.model().failing = false; }};
+    case 2:
+      return {absl::StrCat(name, " carries orders out late"), length, false,
+              [&runner, late = Between(random_, 500, 5000)] {
+                runner.late_by = late;
+              },
+              [&runner] { runner.late_by = absl::ZeroDuration(); }};
+    default:
+      // A runner that leaves is planned work.
+      return {absl::StrCat(name, " drains"), length + absl::Seconds(3), true,
+              [&runner] { runner.SetDraining(true); },
+              [&runner] { runner.SetDraining(false); }};
+  }
+}
+
+Soak::Fault Soak::LinkFaultOn(size_t link, const std::string& name) {
+  const absl::Duration length = Between(random_, 200, 4000);
+  LinkFault fault;
+  fault.mode = static_cast<LinkMode>(
+      1 + random_.Below(static_cast<uint64_t>(LinkMode::kMaxValue)));
+  fault.delay = Between(random_, 5, 300);
+  if (random_.Below(6) == 0) {
+    return {absl::StrCat(name, " goes silent for present connections"), length,
+            false, [this, link] { proxy_.SilenceConnections(link); }, [] {}};
+  }
+  return {absl::StrCat(name, " ", std::string(LinkModeName(fault.mode))),
+          length, false, [this, link, fault] { proxy_.SetFault(link, fault); },
+          [this, link] { proxy_.SetFault(link, {}); }};
+}
+
+}  // namespace radishrail
--- /dev/null
+++ b/tools/soak/soak.h
@@ -0,0 +1,152 @@
+#ifndef RADISHRAIL_TOOLS_SOAK_SOAK_H_
+#define RADISHRAIL_TOOLS_SOAK_SOAK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "child_process.h"
+#include "loopback_proxy.h"
+#include "pool_world.h"
+#include "radishrail/control_loop.h"
+#include "radishrail/http_client.h"
+#include "radishrail/random.h"
+#include "runner_standin.h"
+#include "table_standin.h"
+
+namespace radishrail {
+
+struct SoakOptions {
+  std::string daemon_path;  // the program radishraild
+  std::string directory;    // for settings and logs
+  int daemons = 4;          // over two failure domains
+  int runners = 8;
+  int first_port = 12000;  // three ports for each daemon
+  absl::Duration faults = absl::Seconds(15);
+  absl::Duration pause = absl::Milliseconds(70);  // between two jobs
+};
+
+struct SoakResult {
+  std::vector<std::string> violations;
+  std::string trace;  // of the first violation
+  std::map<std::string, int> answers;
+  int faults = 0;
+  int starts = 0;
+};
+
+// Runs daemons as processes for some time, harms them from outside, and checks
+// what callers and runners see. The seed decides the faults and the jobs; the
+// machine decides how they interleave.
+class Soak {
+ public:
+  Soak(const SoakOptions& options, uint64_t seed);
+  ~Soak();
+
+  std::optional<SoakResult> Run(Error* error);
+
+ private:
+  struct Daemon {
+    std::string name;
+    std::string zone;
+    std::unique_ptr<ChildProcess> process;
+    size_t front_link = 0;
+    size_t peer_link = 0;
+    size_t store_link = 0;
+    std::string front_address;
+    std::string operator_address;
+    std::string ready_address;
+    bool end_expected = false;  // a kill or a stop was sent
+    absl::Time stop_by = absl::InfiniteFuture();
+    absl::Time started;
+    bool paused = false;
+    bool in_rotation = false;
+    int64_t version = 0;  // of the configuration, as it last said
+  };
+
+  struct Job {
+    int tasks = 0;
+    int submissions = 0;
+    bool refused_only = true;
+    std::string answer;  // empty: none yet
+    absl::Time answered = absl::InfiniteFuture();
+  };
+
+  struct Fault {
+    std::string name;
+    absl::Duration length;
+    bool planned = false;  // a graceful stop or a new configuration
+    std::function<void()> begin;
+    std::function<void()> end;
+  };
+
+  bool Prepare(Error* error);
+  bool WriteSettings(const Daemon& daemon, Error* error) const;
+  void StartDaemon(Daemon& daemon);
+
+  // All of these run on the loop.
+  void Tick();
+  void CheckProcesses();
+  void Probe(Daemon& daemon);
+  void OnMetrics(Daemon& daemon, const std::string& text);
+  void WriteHeartbeats();
+  void PutConfig();
+  void SubmitJob();
+  void Send(const std::string& key);
+  void OnAnswer(const std::string& key,
+                const std::string& daemon,
+                bool calm,
+                const HttpResult& result);
+  void CheckComplete(const std::string& key);
+  std::string CheckStart(const RunnerStandin* runner, const StartOrder& order);
+  void BeginFault();
+  Fault ChooseFault();
+  Fault DaemonFault(Daemon& daemon, uint64_t kind);
+  Fault StoreFault(uint64_t kind);
+  Fault RunnerFault(RunnerStandin& runner, uint64_t kind);
+  Fault LinkFaultOn(size_t link, const std::string& name);
+  void Kill(Daemon& daemon);
+  void Violate(const std::string& what);
+  // No fault but planned work is active or ended lately.
+  bool Calm() const;
+  Daemon& AnyDaemon() { return *daemons_[random_.Below(daemons_.size())]; }
+  void CheckAtEnd();
+  // Runs a function on the loop and waits for it.
+  void OnLoop(const std::function<void()>& call);
+
+  const SoakOptions options_;
+  const uint64_t seed_;
+  SeededRandom random_;
+  SystemClock clock_;
+  RunLog log_;
+  ControlLoop loop_;
+  HttpClient callers_;
+  HttpClient probes_;
+  TableStandin table_;
+  LoopbackProxy proxy_;
+  std::vector<std::unique_ptr<Daemon>> daemons_;
+  std::vector<std::unique_ptr<RunnerStandin>> runners_;
+  std::vector<size_t> runner_links_;
+  std::map<std::string, Job> jobs_;
+  SoakResult result_;
+  bool submitting_ = true;
+  bool harming_ = false;
+  bool stopped_ = false;
+  int unplanned_ = 0;  // active faults
+  absl::Time last_unplanned_ = absl::InfinitePast();
+  int64_t config_version_ = 0;
+  absl::Time config_put_;
+  uint64_t next_job_ = 0;
+  absl::Time next_fault_;
+  absl::Time next_probe_;
+  absl::Time next_job_at_;
+  absl::Time next_heartbeat_;
+};
+
+}  // namespace radishrail
+
+#endif  // RADISHRAIL_TOOLS_SOAK_SOAK_H_
