Leave an address that is not set out of rendered settings

SettingsTest.Render_EffectiveSettings_ParseToTheSame failed after the new key advertised_peer_address: an empty address was written and then refused. Keys of type address without a value are left out. 17 of 17 tests pass.

--- a/src/settings.cc
+++ b/src/settings.cc
@@ -604,6 +604,9 @@
       section = it.section;
     }
     std::string value = Format(it, settings);
+    if (it.type == Type::kAddress && value.empty()) {
+      continue;  // not set
+    }
     if (it.type == Type::kSecret && !value.empty()) {
       value = "********";
     }
