Replace peer connections that go silent without a reset

Cause: messages between daemons vanished for good in a connection that passed nothing any more but was acknowledged on the way. The kernel's time-outs did not show it, and replies travel on another connection. Ruled out: TCP_USER_TIMEOUT and keep-alive (both see an acknowledging peer); silence of the owner (its reports travel the other way and still arrive). Change: a receiver confirms on the same connection, at most every 300 ms; a sender that gets nothing for 1 s replaces the connection. The Hello says who confirms, so that older releases are not disturbed. The soak ends its daemons when it is ended, and its faults depend on the seed only.

--- a/include/radishrail/peer_message.h
+++ b/include/radishrail/peer_message.h
@@ -48,7 +48,9 @@
 struct Hello {
   MemberRecord sender;
   std::string cluster_key;
-  MSGPACK_DEFINE(sender, cluster_key);
+  // The sender confirms what it receives. Older releases don't.
+  bool confirms = false;
+  MSGPACK_DEFINE(sender, cluster_key, confirms);
 };
 
 // Membership heartbeat; at most 256 bytes encoded with 4 records.
@@ -319,6 +321,13 @@
   MSGPACK_DEFINE(request, known);
 };
 
+// Shows the sender of messages that its connection still reaches the peer. It
+// travels back on the same connection, and only to peers that confirm as well.
+struct Received {
+  uint64_t messages = 0;  // on this connection so far
+  MSGPACK_DEFINE(messages);
+};
+
 // New kinds are added at the end: the index is the type on the wire.
 using PeerMessage = std::variant<Hello,
                                  Heartbeat,
@@ -342,7 +351,8 @@
                                  PoolJobRequest,
                                  PoolJobReply,
                                  PoolJobCancel,
-                                 PoolJobCancelReply>;
+                                 PoolJobCancelReply,
+                                 Received>;
 
 // Upper bound of one frame's payload; larger transfers are sent in parts.
 inline constexpr size_t kMaxPeerFrameBytes = 8 * 1024 * 1024;
--- a/include/radishrail/tcp_peer_transport.h
+++ b/include/radishrail/tcp_peer_transport.h
@@ -23,6 +23,12 @@
   absl::Duration connect_timeout = absl::Seconds(2);
   // From the connection until the peer's valid Hello.
   absl::Duration hello_timeout = absl::Seconds(5);
+  // A connection on which messages were sent and nothing came back for this
+  // long is replaced: it may have gone silent without a reset. The kernel's
+  // keep-alive doesn't show that where something on the way acknowledges.
+  absl::Duration silence_timeout = absl::Seconds(1);
+  // Time between two confirmations of what was received on a connection.
+  absl::Duration confirm_interval = absl::Milliseconds(300);
   // Delay after a failed connection attempt; doubles up to the maximum.
   absl::Duration min_backoff = absl::Milliseconds(50);
   absl::Duration max_backoff = absl::Seconds(2);
--- a/src/peer_message.cc
+++ b/src/peer_message.cc
@@ -37,7 +37,8 @@
                      "pool_job_request",
                      "pool_job_reply",
                      "pool_job_cancel",
-                     "pool_job_cancel_reply"};
+                     "pool_job_cancel_reply",
+                     "received"};
 
 // A frame's payload is an array of the message's type and its fields.
 template <size_t kIndex = 0>
--- a/src/tcp_peer_transport.cc
+++ b/src/tcp_peer_transport.cc
@@ -99,6 +99,12 @@
   bool connecting = false;
   bool established = false;  // the peer's Hello was accepted
   bool paused = false;
+  bool peer_confirms = false;  // as its Hello said
+  // Outbound: messages were sent since something was received.
+  bool unconfirmed = false;
+  // Inbound: messages received, and when they were last confirmed.
+  uint64_t received = 0;
+  absl::Time confirmed = absl::InfinitePast();
   uint32_t events = 0;
   // Target of an outbound connection; otherwise the remote address until the
   // peer's Hello names its listener.
@@ -159,6 +165,7 @@
   void QueueHello(Connection& connection);
   bool Refill(Connection& connection);
   void Flush(Connection& connection);
+  void Confirm(Connection& connection);
   void Close(Connection& connection, const Error& error);
   void CloseLink(const std::string& address, bool was_established);
   Connection& Add(internal::FileDescriptor fd, std::string address);
@@ -406,10 +413,21 @@
             ErrorWith(ErrorCode::kUnreachable, connection.address,
                       connection.connecting ? "connection attempt timed out"
                                             : "no valid hello in time"));
+    } else if (connection.outbound) {
+      Close(connection, ErrorWith(ErrorCode::kUnreachable, connection.address,
+                                  "the connection has gone silent"));
+    } else {
+      Confirm(connection);
     }
   }
 }
 
+void TcpPeerTransport::Impl::Confirm(Connection& connection) {
+  connection.confirmed = clock_.Monotonic();
+  connection.out.append(Frame(Received{connection.received}));
+  Flush(connection);
+}
+
 void TcpPeerTransport::Impl::HandleLinks() {
   std::vector<std::string> to_connect;
   std::vector<uint64_t> to_flush;
@@ -547,6 +565,7 @@
 void TcpPeerTransport::Impl::QueueHello(Connection& connection) {
   Hello hello;
   hello.cluster_key = settings_.cluster_key;
+  hello.confirms = true;
   {
     const std::lock_guard lock(mutex_);
     hello.sender = self_;
@@ -560,6 +579,9 @@
     const ssize_t n =
         recv(connection.fd.get(), buffer_.data(), buffer_.size(), 0);
     if (n > 0) {
+      if (std::exchange(connection.unconfirmed, false)) {
+        SetDeadline(connection, absl::InfiniteFuture());
+      }
       bytes_received_.Add(static_cast<uint64_t>(n));
       connection.in.append(buffer_.data(), static_cast<size_t>(n));
       if (!ReadFrames(connection)) {
@@ -615,7 +637,8 @@
       failure = ErrorWith(ErrorCode::kProtocol, connection.address,
                           "second hello on a connection");
       break;
-    } else {
+    } else if (!std::holds_alternative<Received>(*message)) {
+      ++connection.received;
       messages.push_back(*std::move(message));
     }
   }
@@ -656,6 +679,7 @@
     return false;
   }
   connection.established = true;
+  connection.peer_confirms = hello->confirms;
   connection.sender = hello->sender;
   SetDeadline(connection, absl::InfiniteFuture());
   if (!connection.outbound) {
@@ -682,6 +706,11 @@
     connection.paused = true;
     SetDeadline(connection, clock_.Monotonic() + kResumeCheck);
     Watch(connection);
+  } else if (connection.peer_confirms && !connection.outbound &&
+             connection.deadline == absl::InfiniteFuture()) {
+    SetDeadline(connection,
+                std::max(clock_.Monotonic(),
+                         connection.confirmed + settings_.confirm_interval));
   }
   executor_.Post([handler = handler_, sender = connection.sender,
                   messages = std::move(messages), undelivered, bytes] {
@@ -732,6 +761,10 @@
       connection.out.clear();
       connection.out_offset = 0;
     }
+    if (connection.outbound && connection.peer_confirms &&
+        !std::exchange(connection.unconfirmed, true)) {
+      SetDeadline(connection, clock_.Monotonic() + settings_.silence_timeout);
+    }
   }
   Watch(connection);
 }
--- a/tests/tcp_peer_transport_test.cc
+++ b/tests/tcp_peer_transport_test.cc
@@ -1,5 +1,8 @@
 #include "radishrail/tcp_peer_transport.h"
 
+#include <poll.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <chrono>
 #include <condition_variable>
@@ -343,6 +346,74 @@
             kMessages - 1);
 }
 
+// Guards against messages that vanish for good in a connection that passes
+// nothing any more and is not reset (soak seed 140).
+TEST_F(TcpPeerTransportTest, Send_ConnectionGoesSilent_IsReplaced) {
+  uint16_t port = 0;
+  auto listener = internal::ListenOn("127.0.0.1:0", &port, nullptr);
+  const std::string peer = "127.0.0.1:" + std::to_string(port);
+  Hello hello;
+  hello.sender.vm = "raw";
+  hello.sender.peer_address = peer;
+  hello.cluster_key = kClusterKey;
+  hello.confirms = true;
+  const std::string reply = Frame(EncodePeerMessage(hello));
+  const auto accept_one = [&] {
+    pollfd waiting = {listener->get(), POLLIN, 0};
+    EXPECT_EQ(poll(&waiting, 1,
+                   static_cast<int>(absl::ToInt64Milliseconds(kTestWait))),
+              1);
+    RawConnection connection(
+        internal::FileDescriptor(accept(listener->get(), nullptr, nullptr)));
+    connection.Write(reply);
+    return connection;
+  };
+  Node a("vm-a");
+  SendWhenPossible(a, peer, PromiseRequest{1, 1});
+  // Answers the hello and then nothing.
+  const RawConnection silent = accept_one();
+  a.handler.WaitForDisconnect(peer);
+  SendWhenPossible(a, peer, PromiseRequest{1, 2});
+  const RawConnection replacement = accept_one();
+}
+
+// Guards against connections of living peers that are taken for silent, since
+// nothing comes back on them.
+TEST_F(TcpPeerTransportTest, Receive_FromPeerThatConfirms_IsConfirmed) {
+  Node a("vm-a");
+  RawConnection raw = RawConnection::To(a.address());
+  Hello hello;
+  hello.sender.vm = "raw";
+  hello.sender.peer_address = "127.0.0.1:9";
+  hello.cluster_key = kClusterKey;
+  hello.confirms = true;
+  raw.Write(Frame(EncodePeerMessage(hello)) +
+            Frame(EncodePeerMessage(PromiseRequest{1, 1})));
+  raw.ReadUntil(Frame(EncodePeerMessage(Received{1})));
+  raw.Write(Frame(EncodePeerMessage(PromiseRequest{1, 2})));
+  raw.ReadUntil(Frame(EncodePeerMessage(Received{2})));
+}
+
+// Guards against confirmations that an older release would not understand.
+TEST_F(TcpPeerTransportTest, Receive_FromPeerThatDoesNotConfirm_SendsNone) {
+  Node a("vm-a");
+  RawConnection raw = RawConnection::To(a.address());
+  raw.Write(HelloFrame(kClusterKey) +
+            Frame(EncodePeerMessage(PromiseRequest{1, 1})));
+  a.handler.WaitForMessages(1);
+  raw.Write(Frame(EncodePeerMessage(PromiseRequest{1, 2})));
+  a.handler.WaitForMessages(2);
+  raw.Write(Frame("not a message"));
+  const std::string received = raw.ReadUntilClosed();
+  Hello hello;
+  hello.cluster_key = kClusterKey;
+  hello.confirms = true;
+  hello.sender.vm = "vm-a";
+  hello.sender.incarnation = 7;
+  hello.sender.peer_address = a.address();
+  EXPECT_EQ(received, Frame(EncodePeerMessage(hello)));
+}
+
 TEST_F(TcpPeerTransportTest, Stop_WithOpenConnections_TellsPeer) {
   Node a("vm-a");
   Node b("vm-b");
--- a/tools/soak/child_process.cc
+++ b/tools/soak/child_process.cc
@@ -6,14 +6,47 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
+#include <atomic>
+#include <utility>
+
 extern char** environ;
 
 namespace radishrail {
 
+namespace {
+
+// More than the processes of a soak; further ones are not registered.
+constexpr size_t kMaxProcesses = 256;
+// Ids of the processes that run, for the handler of signals.
+std::array<std::atomic<pid_t>, kMaxProcesses> running_ids{};
+
+}  // namespace
+
+void ChildProcess::KillAll() {
+  for (const auto& it : running_ids) {
+    const pid_t pid = it.load();
+    if (pid > 0) {
+      kill(pid, SIGKILL);
+    }
+  }
+}
+
+void ChildProcess::SetPid(pid_t pid) {
+  const pid_t former = std::exchange(pid_, pid);
+  for (auto& it : running_ids) {
+    pid_t expected = former;
+    if (it.compare_exchange_strong(expected, pid)) {
+      return;
+    }
+  }
+}
+
 ChildProcess::~ChildProcess() {
   if (running()) {
     kill(pid_, SIGKILL);
     waitpid(pid_, nullptr, 0);
+    SetPid(0);
   }
 }
 
@@ -35,7 +68,7 @@
   const int result = posix_spawn(&pid, arguments.front(), &actions, nullptr,
                                  arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
-  pid_ = result == 0 ? pid : 0;
+  SetPid(result == 0 ? pid : 0);
   return running();
 }
 
@@ -50,7 +83,7 @@
   if (!running() || waitpid(pid_, &status, WNOHANG) != pid_) {
     return std::nullopt;
   }
-  pid_ = 0;
+  SetPid(0);
   return status;
 }
 
--- a/tools/soak/child_process.h
+++ b/tools/soak/child_process.h
@@ -20,6 +20,8 @@
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
 
+  // Kills the processes of all instances; for signal handlers.
+  static void KillAll();
   // False if the process could not be started.
   bool Start();
   void Signal(int number) const;
@@ -28,6 +30,8 @@
   bool running() const { return pid_ > 0; }
 
  private:
+  void SetPid(pid_t pid);
+
   const std::vector<std::string> command_;
   const std::string output_path_;
   pid_t pid_ = 0;
--- a/tools/soak/main.cc
+++ b/tools/soak/main.cc
@@ -9,6 +9,7 @@
 #include "CLI/CLI.hpp"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "radishrail/log.h"
 #include "soak.h"
 
 namespace radishrail {
@@ -27,6 +28,12 @@
   bool keep = false;
 };
 
+// A soak that is ended leaves no daemons behind.
+void EndWithProcesses(int /*signal*/) {
+  ChildProcess::KillAll();
+  _exit(EXIT_FAILURE);
+}
+
 // True if the promises held.
 bool RunSeed(const Options& options, uint64_t seed) {
   SoakOptions soak = options.soak;
@@ -85,6 +92,9 @@
 
 int main(int argc, char** argv) {
   signal(SIGPIPE, SIG_IGN);
+  signal(SIGTERM, &radishrail::EndWithProcesses);
+  signal(SIGINT, &radishrail::EndWithProcesses);
+  radishrail::InitLogging(radishrail::LogLevel::kWarning, "soak");
   radishrail::Options options;
   CLI::App app(
       "Runs daemons as processes, injects random faults from outside and "
--- a/tools/soak/soak.cc
+++ b/tools/soak/soak.cc
@@ -62,8 +62,8 @@
 
 Soak::Soak(const SoakOptions& options, uint64_t seed)
     : options_(options),
-      seed_(seed),
       random_(seed),
+      job_random_(seed + 1),
       loop_("soak"),
       callers_(ClientSettings("callers"), loop_),
       probes_(ClientSettings("probes"), loop_),
@@ -285,7 +285,7 @@
     }
   }
   if (submitting_ && next_job_at_ <= now) {
-    next_job_at_ = now + options_.pause * (0.5 + random_.Unit());
+    next_job_at_ = now + options_.pause * (0.5 + job_random_.Unit());
     SubmitJob();
   }
   if (harming_ && next_fault_ <= now) {
@@ -306,7 +306,7 @@
             " ended by itself: ", WIFSIGNALED(*status) ? "signal " : "status ",
             WIFSIGNALED(*status) ? WTERMSIG(*status) : WEXITSTATUS(*status)));
       }
-      loop_.PostDelayed(Between(random_, 200, 1500), [this, &daemon] {
+      loop_.PostDelayed(Between(job_random_, 200, 1500), [this, &daemon] {
         if (!stopped_) {
           StartDaemon(daemon);
         }
@@ -372,7 +372,7 @@
 }
 
 void Soak::PutConfig() {
-  config_version_ += 1 + static_cast<int64_t>(random_.Below(5));
+  config_version_ += 1 + static_cast<int64_t>(job_random_.Below(5));
   config_put_ = absl::Now();
   const nlohmann::json route = {{"name", "queue"},          {"host", "host"},
                                 {"pathPrefix", "/queue/"},  {"service", "svc"},
@@ -387,7 +387,7 @@
 
 void Soak::SubmitJob() {
   const std::string key = absl::StrCat("job", next_job_++);
-  jobs_[key].tasks = 1 + static_cast<int>(random_.Below(4));
+  jobs_[key].tasks = 1 + static_cast<int>(job_random_.Below(4));
   Send(key);
 }
 
@@ -400,8 +400,8 @@
       ready.push_back(it.get());
     }
   }
-  Daemon& daemon =
-      ready.empty() ? AnyDaemon() : *ready[random_.Below(ready.size())];
+  Daemon& daemon = ready.empty() ? AnyDaemon(job_random_)
+                                 : *ready[job_random_.Below(ready.size())];
   const nlohmann::json step = {
       {"count", job.tasks}, {"cpu", 8000}, {"memMb", 64}, {"estimateMs", 200}};
   HttpClientRequest request;
@@ -568,7 +568,7 @@
 Soak::Fault Soak::ChooseFault() {
   const uint64_t kind = random_.Below(20);
   if (kind < 6) {
-    return DaemonFault(AnyDaemon(), kind);
+    return DaemonFault(AnyDaemon(random_), kind);
   }
   if (kind < 10) {
     return StoreFault(kind - 6);
@@ -577,7 +577,7 @@
   if (kind < 14) {
     return RunnerFault(*runners_[n], kind - 10);
   }
-  Daemon& daemon = AnyDaemon();
+  Daemon& daemon = AnyDaemon(random_);
   switch (kind) {
     case 14:
       return LinkFaultOn(runner_links_[n],
--- a/tools/soak/soak.h
+++ b/tools/soak/soak.h
@@ -113,14 +113,18 @@
   void Violate(const std::string& what);
   // No fault but planned work is active or ended lately.
   bool Calm() const;
-  Daemon& AnyDaemon() { return *daemons_[random_.Below(daemons_.size())]; }
+  Daemon& AnyDaemon(Random& random) {
+    return *daemons_[random.Below(daemons_.size())];
+  }
   void CheckAtEnd();
   // Runs a function on the loop and waits for it.
   void OnLoop(const std::function<void()>& call);
 
   const SoakOptions options_;
-  const uint64_t seed_;
+  // Faults have a generator of their own, so that a seed gives the same ones
+  // however many jobs the machine gets through.
   SeededRandom random_;
+  SeededRandom job_random_;
   SystemClock clock_;
   RunLog log_;
   ControlLoop loop_;
