Reload the log level at SIGHUP and name the settings that wait

Cause: SIGHUP was only logged, without the file being read; a broken file showed at the next start. Now the file is read and checked, the log level applies at once, and the keys that differ from those in force are named.

--- a/include/radishrail/log.h
+++ b/include/radishrail/log.h
@@ -29,6 +29,7 @@
 // beyond a queue of `kLogQueueLines` are dropped and counted.
 inline constexpr size_t kLogQueueLines = 4096;
 void InitLogging(LogLevel level, std::string process);
+void SetLogLevel(LogLevel level);
 // Writes the queued lines and stops the thread; lines that a blocked output
 // does not take within `kLogStopTimeout` are lost.
 inline constexpr absl::Duration kLogStopTimeout = absl::Milliseconds(500);
--- a/include/radishrail/settings.h
+++ b/include/radishrail/settings.h
@@ -70,6 +70,9 @@
 std::optional<Settings> ParseSettings(std::string_view text,
                                       const std::string& name,
                                       Error* error);
+// The keys whose values differ, as "[section] key".
+std::vector<std::string> ChangedKeys(const Settings& before,
+                                     const Settings& after);
 // The effective settings as INI, with secrets replaced.
 std::string RenderSettings(const Settings& settings);
 // Markdown table of all keys: type, unit, range, default. Printed by
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -6,6 +6,7 @@
 #include "CLI/CLI.hpp"
 #include "absl/debugging/failure_signal_handler.h"
 #include "absl/debugging/symbolize.h"
+#include "absl/strings/str_join.h"
 #include "daemon.h"
 #include "platform_daemon.h"
 #include "radishrail/log.h"
@@ -30,13 +31,26 @@
   return signals;
 }
 
-// Settings take effect at the next start; a change is only logged.
-void LogReload() {
-  Log(LogLevel::kInfo, "reload asked for; settings apply at the next start");
+// Applies the log level; other changes are named and take effect at the next
+// start. An invalid file changes nothing.
+void Reload(const std::string& path, const Settings& in_force) {
+  Error error;
+  const auto settings = LoadSettings(path, &error);
+  if (!settings.has_value()) {
+    LogFailure("the settings were not reloaded", error);
+    return;
+  }
+  SetLogLevel(settings->log_level);
+  Log(LogLevel::kInfo, "settings reloaded",
+      {{"log_level", std::string(LogLevelName(settings->log_level))},
+       {"changed_since_start",
+        absl::StrJoin(ChangedKeys(in_force, *settings), ", ")}});
 }
 
 template <typename AnyDaemon>
-int RunDaemon(const Settings& settings, const sigset_t& signals) {
+int RunDaemon(const std::string& path,
+              const Settings& settings,
+              const sigset_t& signals) {
   AnyDaemon daemon(settings);
   Error error;
   if (!daemon.Start(&error)) {
@@ -50,7 +64,7 @@
   while (!daemon.WaitUntilDrained(absl::ZeroDuration())) {
     const int signal = sigtimedwait(&signals, nullptr, &kPoll);
     if (signal == SIGHUP) {
-      LogReload();
+      Reload(path, settings);
     } else if (signal > 0) {
       Log(LogLevel::kInfo, "graceful shutdown starts");
       daemon.BeginDrain();
@@ -96,8 +110,9 @@
   // the handler would take for a crash, is blocked by now.
   absl::InstallFailureSignalHandler({});
   InitLogging(settings->log_level, settings->vm);
-  return platform ? RunDaemon<platform::PlatformDaemon>(*settings, signals)
-                  : RunDaemon<Daemon>(*settings, signals);
+  return platform
+             ? RunDaemon<platform::PlatformDaemon>(path, *settings, signals)
+             : RunDaemon<Daemon>(path, *settings, signals);
 }
 
 }  // namespace
--- a/src/log.cc
+++ b/src/log.cc
@@ -139,7 +139,11 @@
   output.sink->set_formatter(logging::expressions::stream
                              << logging::expressions::smessage);
   logging::core::get()->add_sink(output.sink);
-  logging::core::get()->set_filter(severity >= static_cast<int>(level));
+  SetLogLevel(level);
+}
+
+void SetLogLevel(LogLevel level) {
+  boost::log::core::get()->set_filter(severity >= static_cast<int>(level));
 }
 
 void StopLogging() {
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -594,6 +594,18 @@
   return ParseSettings(text.str(), path, error);
 }
 
+std::vector<std::string> ChangedKeys(const Settings& before,
+                                     const Settings& after) {
+  std::vector<std::string> names;
+  for (const auto& it : kKeys) {
+    if (Format(it, before) != Format(it, after)) {
+      names.push_back(absl::StrCat("[", std::string(it.section), "] ",
+                                   std::string(it.name)));
+    }
+  }
+  return names;
+}
+
 std::string RenderSettings(const Settings& settings) {
   std::string text;
   std::string_view section;
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -184,6 +184,18 @@
   EXPECT_EQ(RenderSettings(*copy), text);
 }
 
+// Guards against a reload that hides what waits for the next start.
+TEST_F(SettingsTest, ChangedKeys_TwoValuesDiffer_NamesBoth) {
+  Settings before;
+  Settings after = before;
+  EXPECT_TRUE(ChangedKeys(before, after).empty());
+  after.max_connections = before.max_connections + 1;
+  after.log_level = LogLevel::kDebug;
+  EXPECT_EQ(ChangedKeys(before, after),
+            (std::vector<std::string>{"[daemon] log_level",
+                                      "[requests] max_connections"}));
+}
+
 // Guards against a page that describes other settings than the daemon reads.
 TEST_F(SettingsTest, Reference_ConfigurationPage_ContainsIt) {
   const auto page = std::filesystem::path(__FILE__).parent_path() / ".." /
--- a/tools/soak/runner_standin.cc
+++ b/tools/soak/runner_standin.cc
@@ -139,6 +139,12 @@
 void RunnerStandin::Handle(const HttpRequest& request,
                            const HttpResponder& respond) {
   const Json root = Json::parse(request.body, nullptr, false);
+  if (!root.is_object()) {
+    log_.violations.push_back(absl::StrCat(
+        "a runner got a body that is not an object: ", request.method, " ",
+        request.path, " '", request.body.substr(0, 200), "'"));
+    return;
+  }
   if (request.path == "/run-start") {
     auto order = MakeOrder<StartOrder>(request, root);
     order.payload = root.value("spec", "");
