--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -4,9 +4,8 @@
 #include <string>
 
 #include "CLI/CLI.hpp"
-#include "absl/debugging/failure_signal_handler.h"
-#include "absl/debugging/symbolize.h"
 #include "absl/strings/str_join.h"
+#include "crash_handler.h"
 #include "daemon.h"
 #include "platform_daemon.h"
 #include "radishrail/log.h"
@@ -106,9 +105,7 @@
     return kExitUsage;
   }
   const sigset_t signals = BlockSignals();
-  // A crash writes the stack of its thread to standard error. SIGTERM, which
-  // the handler would take for a crash, is blocked by now.
-  absl::InstallFailureSignalHandler({});
+  InstallCrashHandler();
   InitLogging(settings->log_level, settings->vm);
   return platform
              ? RunDaemon<platform::PlatformDaemon>(path, *settings, signals)
@@ -119,6 +116,5 @@
 }  // namespace radishrail
 
 int main(int argc, char** argv) {
-  absl::InitializeSymbolizer(argv[0]);
   return radishrail::Main(argc, argv);
 }
