Keep the claim of a chosen pool instead of asking for its owner twice

Cause: PoolRouter chose a pool with a living owner and asked for the owner again for the log line and for the offer. Between the two looks at the clock the owner's silence could pass its limit, and the second answer was a null pointer: the entry daemon ended with SIGSEGV. Ruled out: peer connections that are reset, the HTTP server's answers to clients that left (read and run under ThreadSanitizer: no report). Change: Choose returns the claim.

--- a/include/radishrail/pool_router.h
+++ b/include/radishrail/pool_router.h
@@ -90,9 +90,10 @@
     absl::Time reported;
   };
 
-  // The pool with the least expected waiting that was not tried yet.
-  std::optional<std::string> Choose(const Offer& offer) const;
-  void MakeOffer(const OfferPointer& offer);
+  // The claim of the pool with the least expected waiting that was not tried
+  // yet. A copy: the owner may be taken for silent a moment later.
+  std::optional<PoolClaim> Choose(const Offer& offer) const;
+  void MakeOffer(const OfferPointer& offer, const PoolClaim& pool);
   void Answer(const OfferPointer& offer, const JobAnswer& answer);
   void Forward(const PoolClaim& owner, const OfferPointer& offer);
   // Offers a job that did not run to another pool, or answers.
--- a/src/pool_router.cc
+++ b/src/pool_router.cc
@@ -80,8 +80,8 @@
       absl::Milliseconds(claim.backlog_ms), clock_.Monotonic()};
 }
 
-std::optional<std::string> PoolRouter::Choose(const Offer& offer) const {
-  std::optional<std::string> best;
+std::optional<PoolClaim> PoolRouter::Choose(const Offer& offer) const {
+  std::optional<PoolClaim> best;
   absl::Duration best_wait = absl::InfiniteDuration();
   for (const auto& name : ownership_.Pools()) {
     const PoolClaim* owner = ownership_.Owner(name);
@@ -102,7 +102,7 @@
     }
     if (wait < best_wait) {
       best_wait = wait;
-      best = name;
+      best = *owner;
     }
   }
   return best;
@@ -128,10 +128,6 @@
   offer->job = std::move(job);
   offer->document = route.document;
   offer->callback = std::move(callback);
-  MakeOffer(offer);
-}
-
-void PoolRouter::MakeOffer(const OfferPointer& offer) {
   const auto pool = Choose(*offer);
   if (!pool.has_value()) {
     no_owner_.Add();
@@ -141,13 +137,17 @@
                                kNoOwnerRetry, TaskErrors::kOmitted));
     return;
   }
-  offer->tried.push_back(*pool);
-  PoolLoad& load = loads_[*pool];
+  MakeOffer(offer, *pool);
+}
+
+void PoolRouter::MakeOffer(const OfferPointer& offer, const PoolClaim& pool) {
+  offer->tried.push_back(pool.pool);
+  PoolLoad& load = loads_[pool.pool];
   log_.Write(
       offer->tried.size() > 1 ? Decision::kJobOfferedAgain
                               : Decision::kJobOffered,
-      offer->job.key, *pool,
-      {{"owner", ownership_.Owner(*pool)->owner},
+      offer->job.key, pool.pool,
+      {{"owner", pool.owner},
        {"slots_wanted", absl::StrCat(offer->slots)},
        {"slots", absl::StrCat(load.slots)},
        {"busy_slots", absl::StrCat(load.busy)},
@@ -157,24 +157,25 @@
        {"config_version", absl::StrCat(offer->document->version)}});
   load.busy += offer->slots;
   offer->job.deadline = offer->deadline - clock_.Monotonic();
-  if (ownership_.OwnedFence(*pool) != 0) {
+  if (ownership_.OwnedFence(pool.pool) != 0) {
     local_(offer->job, offer->document,
            [this, offer](const JobAnswer& answer) { OnAnswer(offer, answer); });
     return;
   }
-  Forward(*ownership_.Owner(*pool), offer);
+  Forward(pool, offer);
 }
 
 void PoolRouter::OnAnswer(const OfferPointer& offer, const JobAnswer& answer) {
-  const bool elsewhere = answer.status == JobStatus::kNotRun &&
-                         offer->tried.size() < kMaxOffers &&
-                         Choose(*offer).has_value();
-  if (!elsewhere) {
+  std::optional<PoolClaim> elsewhere;
+  if (answer.status == JobStatus::kNotRun && offer->tried.size() < kMaxOffers) {
+    elsewhere = Choose(*offer);
+  }
+  if (!elsewhere.has_value()) {
     Answer(offer, answer);
     return;
   }
   offered_again_.Add();
-  MakeOffer(offer);
+  MakeOffer(offer, *elsewhere);
 }
 
 void PoolRouter::Answer(const OfferPointer& offer, const JobAnswer& answer) {
--- /dev/null
+++ b/tests/pool_router_test.cc
@@ -0,0 +1,110 @@
+#include "radishrail/pool_router.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "fake_store.h"
+#include "fakes.h"
+#include "gtest/gtest.h"
+#include "radishrail/random.h"
+
+namespace radishrail {
+namespace {
+
+// Time passes between any two looks at it, as it does for a real process.
+class AdvancingClock : public Clock {
+ public:
+  absl::Time Monotonic() const override { return now_ += kStep; }
+  absl::Time Wall() const override { return now_; }
+  void Advance(absl::Duration duration) { now_ += duration; }
+
+ private:
+  static constexpr absl::Duration kStep = absl::Milliseconds(1);
+  mutable absl::Time now_ = absl::FromUnixSeconds(1000);
+};
+
+class PoolRouterTest : public testing::Test {
+ protected:
+  PoolRouterTest() {
+    auto document = std::make_shared<VersionedDocument>();
+    document->document.environment = "queue";
+    route_.document = std::move(document);
+    route_.base = absl::Seconds(1);
+    ownership_.SetPools({"d1"});
+  }
+
+  void HearOwner() {
+    PoolClaim claim;
+    claim.pool = "d1";
+    claim.fence = ++fence_;
+    claim.owner = "vm-owner";
+    claim.address = "10.0.0.1:7302";
+    claim.accepting = true;
+    claim.slots = 64;
+    ownership_.OnClaim(claim, clock_.Monotonic());
+    router_.OnClaim(claim);
+  }
+  void Submit() {
+    JobSpec job;
+    job.key = "job";
+    job.deadline = absl::Seconds(1);
+    job.tasks.resize(1);
+    router_.Submit(std::move(job), route_,
+                   [this](const JobAnswer& answer) { last_ = answer; });
+  }
+
+  AdvancingClock clock_;
+  SeededRandom random_{1};
+  FakePlatform platform_;
+  FakeStore store_{platform_};
+  RecordingTransport transport_;
+  Metrics metrics_;
+  DecisionLog log_{clock_, metrics_};
+  PoolOwnershipSettings settings_;
+  PoolOwnership ownership_{settings_, clock_, random_, store_,
+                           [](const std::string&) {}};
+  PoolRouter router_{"d1",
+                     1,
+                     clock_,
+                     transport_,
+                     ownership_,
+                     [](JobSpec,
+                        std::shared_ptr<const VersionedDocument>,
+                        const PoolRouter::AnswerCallback&) {},
+                     metrics_,
+                     log_};
+  RoutedDocument route_;
+  uint64_t fence_ = 0;
+  std::optional<JobAnswer> last_;
+};
+
+// Guards against a crash when the owner's silence passes its limit between the
+// choice of its pool and the offer (a daemon ended with SIGSEGV after an owner
+// was killed).
+TEST_F(PoolRouterTest, Submit_OwnerFallsSilentMeanwhile_OffersOrRefuses) {
+  constexpr int kSteps = 60;
+  for (int i = 0; i < kSteps; ++i) {
+    HearOwner();
+    clock_.Advance(settings_.silence - absl::Milliseconds(i));
+    const size_t sent = transport_.sent.size();
+    last_.reset();
+    Submit();
+    EXPECT_TRUE(transport_.sent.size() == sent + 1 || last_.has_value());
+  }
+  EXPECT_FALSE(transport_.sent.empty());
+}
+
+// Guards against an owner that is offered jobs though it is gone.
+TEST_F(PoolRouterTest, Submit_OwnerIsSilent_IsRefusedAsNotRun) {
+  HearOwner();
+  clock_.Advance(settings_.silence);
+  Submit();
+  ASSERT_TRUE(last_.has_value());
+  EXPECT_EQ(last_->status, JobStatus::kNotRun);
+  EXPECT_EQ(last_->error.code, ErrorCode::kNoOwner);
+}
+
+}  // namespace
+}  // namespace radishrail
