Let idle daemons report to owners and a few peers only

Cause: each daemon reported to each other daemon once a second, so that an idle fleet's messages grew with the square of its size (300 daemons: 299 messages a second each, and since connections are confirmed as many answers). Ruled out: less frequent reports to all (the growth stays). Change: a daemon without a pool reports to owners, to three random peers a second (versions of the configuration), and once to each peer, so that owners know it; owners still report to all ten times a second.

--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -1,7 +1,9 @@
 #include "radishrail/pool_node.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <exception>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <set>
@@ -24,6 +26,9 @@
 constexpr std::string_view kMemberPrefix = "members/";
 constexpr absl::Duration kStatusInterval = absl::Milliseconds(100);
 constexpr absl::Duration kIdleStatusInterval = absl::Seconds(1);
+// Peers without a pool that an idle daemon tells its version of the
+// configuration in that time; to tell all would cost the square of the fleet.
+constexpr size_t kGossipPeers = 3;
 // An entry daemon that is silent for longer has its jobs ended, since its
 // callers submit them again elsewhere.
 constexpr absl::Duration kEntrySilence = absl::Milliseconds(900);
@@ -72,6 +77,7 @@
   absl::Time heard = absl::InfinitePast();
   int64_t document_version = 0;
   absl::Time status_due = absl::InfinitePast();
+  bool greeted = false;  // it was sent a status on its present connection
 };
 
 struct KnownRunner {
@@ -206,14 +212,7 @@
     cancel.known = dispatcher_.Cancel(key, ErrorCode::kCancelled);
     cancel.deadline = env_.clock.Monotonic() + kCancelWait;
     const uint64_t request = next_cancel_++;
-    std::set<std::string> owners;
-    for (const auto& it : ownership_.Pools()) {
-      const PoolClaim* owner = ownership_.Owner(it);
-      if (owner != nullptr && owner->owner != settings_.vm) {
-        owners.insert(owner->address);
-      }
-    }
-    for (const auto& it : owners) {
+    for (const auto& it : OwnerAddresses()) {
       cancel.replies +=
           env_.transport.Send(it, PoolJobCancel{request, key}) ? 1 : 0;
     }
@@ -258,6 +257,10 @@
   }
 
   void OnPeerDisconnected(const std::string& address) {
+    const auto peer = peers_.find(address);
+    if (peer != peers_.end()) {
+      peer->second.greeted = false;
+    }
     ownership_.OnPeerDisconnected(address);
     router_.OnPeerDisconnected(address);
     EndJobsOf(address, "the connection to the entry daemon broke");
@@ -337,25 +340,53 @@
                               [this] { JoinMembers(); });
   }
 
+  // Owners report to all daemons. Others report to owners, to those that have
+  // their jobs more often, and once to each peer, so that it knows them.
   void SendStatus(absl::Time now) {
-    std::optional<PoolStatus> status;
+    std::vector<std::string> due;
     const bool owner = OwnsAny();
+    const std::set<std::string> owners = OwnerAddresses();
     for (auto& [address, peer] : peers_) {
       if (peer.status_due > now) {
         continue;
       }
       const bool soon = owner || router_.HasPendingAt(address);
-      peer.status_due = now + (soon ? kStatusInterval : kIdleStatusInterval);
-      if (!status.has_value()) {
-        status = MakeStatus();
+      if (soon || !peer.greeted || owners.contains(address)) {
+        peer.status_due = now + (soon ? kStatusInterval : kIdleStatusInterval);
+        peer.greeted = true;
+        due.push_back(address);
+      }
+    }
+    if (gossip_due_ <= now && !peers_.empty()) {
+      gossip_due_ = now + kIdleStatusInterval;
+      for (size_t i = 0; i < std::min(kGossipPeers, peers_.size()); ++i) {
+        due.push_back(
+            std::next(peers_.begin(), static_cast<std::ptrdiff_t>(
+                                          env_.random.Below(peers_.size())))
+                ->first);
       }
-      env_.transport.Send(address, *status);
     }
-    if (status.has_value()) {
-      for (const auto& it : status->claims) {
-        router_.OnClaim(it);
+    if (due.empty()) {
+      return;
+    }
+    const PoolStatus status = MakeStatus();
+    for (const auto& it : due) {
+      env_.transport.Send(it, status);
+    }
+    for (const auto& it : status.claims) {
+      router_.OnClaim(it);
+    }
+  }
+
+  std::set<std::string> OwnerAddresses() const {
+    std::set<std::string> addresses;
+    for (const auto& it : ownership_.Pools()) {
+      const PoolClaim* owner = ownership_.Owner(it);
+      if (owner != nullptr && owner->owner != settings_.vm) {
+        addresses.insert(owner->address);
       }
     }
+    return addresses;
   }
 
   bool OwnsAny() const {
@@ -829,6 +860,7 @@
   std::map<uint64_t, PendingCancel> cancels_;
   uint64_t next_cancel_ = 1;
   absl::Time next_pull_ = absl::InfinitePast();
+  absl::Time gossip_due_ = absl::InfinitePast();
   std::optional<absl::Time> drain_started_;
   bool handing_over_ = false;
   // Pools that go back to their failure domain, with the time of release.
--- a/tests/pool_fleet.h
+++ b/tests/pool_fleet.h
@@ -74,10 +74,13 @@
     DaemonTransport(PoolFleet& fleet, std::string from)
         : fleet_(fleet), from_(std::move(from)) {}
     bool Send(const std::string& to, const PeerMessage& message) override {
+      ++sent;
       fleet_.Carry(from_, to, message);
       return true;
     }
 
+    int sent = 0;
+
    private:
     PoolFleet& fleet_;
     const std::string from_;
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -170,6 +170,29 @@
   EXPECT_THAT(fleet_.log.starts, IsEmpty());
 }
 
+// Guards against idle daemons whose messages grow with the fleet.
+TEST_F(PoolFleetTest, IdleDaemonsOfALargeFleetTellFewPeers) {
+  constexpr int kDaemonsPerDomain = 15;
+  constexpr int kSeconds = 10;
+  // Two owners and three others a second.
+  constexpr int kMostPerSecond = 5;
+  PoolFleet large(1, kDaemonsPerDomain, 1);
+  large.loop.RunFor(absl::Seconds(3));
+  std::map<std::string, int> before;
+  for (const auto& it : large.Names()) {
+    before[it] = large.daemon(it).transport->sent;
+  }
+  large.loop.RunFor(absl::Seconds(kSeconds));
+  int talkative = 0;
+  for (const auto& it : large.Names()) {
+    talkative += large.daemon(it).transport->sent - before[it] >
+                         kMostPerSecond * (kSeconds + 1)
+                     ? 1
+                     : 0;
+  }
+  EXPECT_LE(talkative, 2) << "only the owners report to all";
+}
+
 // Guards against configurations that go backwards or do not arrive.
 TEST_F(PoolFleetTest, NewConfigurationIsInForceWithinTwoSeconds) {
   fleet_.PutConfig(5, {"svc", "other"});
