--- a/tests/pool_router_test.cc
+++ b/tests/pool_router_test.cc
@@ -70,8 +70,8 @@
                      clock_,
                      transport_,
                      ownership_,
-                     [](JobSpec,
-                        std::shared_ptr<const VersionedDocument>,
+                     [](const JobSpec&,
+                        const std::shared_ptr<const VersionedDocument>&,
                         const PoolRouter::AnswerCallback&) {},
                      metrics_,
                      log_};
--- a/tools/soak/runner_standin.cc
+++ b/tools/soak/runner_standin.cc
@@ -150,7 +150,7 @@
     order.payload = root.value("spec", "");
     order.lease_until_ms = root.value("deadlineMs", int64_t{0});
     if (late_by == absl::ZeroDuration()) {
-      StartRun(std::move(order), respond);
+      StartRun(order, respond);
       return;
     }
     // The caller gets no answer; its time limit ends the connection.
@@ -187,7 +187,8 @@
   }
 }
 
-void RunnerStandin::StartRun(StartOrder order, const HttpResponder& respond) {
+void RunnerStandin::StartRun(const StartOrder& order,
+                             const HttpResponder& respond) {
   model_.run_time = max_run_time * (0.1 + 0.9 * random_.Unit());
   const int starts = log_.starts[order.job_key];
   const OrderReply reply = model_.Start(order);
--- a/tools/soak/runner_standin.h
+++ b/tools/soak/runner_standin.h
@@ -51,7 +51,7 @@
 
  private:
   void Handle(const HttpRequest& request, const HttpResponder& respond);
-  void StartRun(StartOrder order, const HttpResponder& respond);
+  void StartRun(const StartOrder& order, const HttpResponder& respond);
 
   ControlLoop& loop_;
   RunLog& log_;
--- a/tools/soak/soak.cc
+++ b/tools/soak/soak.cc
@@ -552,7 +552,8 @@
   if (!fault.planned) {
     ++unplanned_;
   }
-  loop_.PostDelayed(fault.length, [this, fault = std::move(fault)] {
+  const absl::Duration length = fault.length;
+  loop_.PostDelayed(length, [this, fault = std::move(fault)] {
     if (stopped_) {
       return;
     }
