Choose owners of pools by the size of their VM; index routes

Change: - [daemon] cpu_share tells a daemon the size of its VM; member records carry it; - a smaller VM waits up to 450 ms longer before it claims a pool; - an owner hands its pool to a live VM of at least twice its size, at most once in 30 s; - routes are found by an index instead of a search of all, at the entry and, for each forwarded job, at the owner; - a daemon that misses a configuration asks a random peer that has it, not always the first by address.

Pool_VmsOfUnequalSize_IsOwnedByTheLargest fails without the choice (0 of 10 tasks started by the large VM).

--- a/include/radishrail/pool_node.h
+++ b/include/radishrail/pool_node.h
@@ -39,6 +39,7 @@
   std::string vm;
   std::string failure_domain;
   std::string peer_address;
+  uint32_t cpu_millicores = 1000;  // processor share of this VM
   LeaseSettings lease;
   // Longest time that one watch call waits for a change in the store. A call
   // that is lost in an unresponsive store or connection is noticed only when it
--- a/include/radishrail/pool_ownership.h
+++ b/include/radishrail/pool_ownership.h
@@ -60,6 +60,8 @@
   // Gives up an owned pool; another daemon may claim it at once. Returns the
   // claim to send to the peers.
   PoolClaim Release(const std::string& pool);
+  // Additional delay of this daemon's claims.
+  void SetClaimDelay(absl::Duration delay) { claim_delay_ = delay; }
   // Claims no further pools. Owned pools stay owned.
   void StopClaiming() { claiming_stopped_ = true; }
   // Claims pools without a live owner; returns the time of the next call.
@@ -100,6 +102,7 @@
   const ChangeCallback on_change_;
   std::map<std::string, Pool> pools_;
   bool claiming_stopped_ = false;
+  absl::Duration claim_delay_;
   // Start of the current period in which the store answers; InfiniteFuture
   // while it does not, InfinitePast before the first failure.
   absl::Time store_reachable_since_ = absl::InfinitePast();
--- a/include/radishrail/routed_documents.h
+++ b/include/radishrail/routed_documents.h
@@ -1,8 +1,10 @@
 #ifndef RADISHRAIL_ROUTED_DOCUMENTS_H_
 #define RADISHRAIL_ROUTED_DOCUMENTS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -28,15 +30,27 @@
 };
 
 // The routes of one configuration version.
-struct RoutedDocuments {
+class RoutedDocuments {
+ public:
   int64_t version = 0;
   std::string body;  // as stored; sent to peers
-  std::vector<RoutedDocument> routes;
 
+  // Of two routes with the same host and prefix, the first one is used.
+  void Add(RoutedDocument route);
   // The route with the longest prefix of `path`; nullptr if there is none.
-  // Linear in the number of routes.
+  // Logarithmic in the number of routes.
   const RoutedDocument* Find(std::string_view host,
                              std::string_view path) const;
+  // A route to the environment; nullptr if there is none.
+  const RoutedDocument* FindEnvironment(std::string_view environment) const;
+  size_t size() const { return routes_.size(); }
+
+ private:
+  std::vector<RoutedDocument> routes_;
+  // Positions in `routes_`.
+  std::map<std::string, std::map<std::string, size_t, std::less<>>, std::less<>>
+      by_prefix_of_host_;
+  std::map<std::string, size_t, std::less<>> by_environment_;
 };
 
 // Decodes a stored body; on failure returns nullopt and sets `error`.
--- a/include/radishrail/settings.h
+++ b/include/radishrail/settings.h
@@ -20,6 +20,7 @@
   std::string failure_domain;                // required
   std::vector<std::string> failure_domains;  // required, same on all daemons
   uint32_t weight = 1;
+  uint32_t cpu_millicores = 1000;
   std::string caller_address = "127.0.0.1:7300";
   std::string operator_address = "127.0.0.1:7301";
   std::string peer_address = "127.0.0.1:7302";
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -11,6 +11,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
+#include "owner_choice.h"
 #include "radishrail/decision_log.h"
 #include "radishrail/job_answers.h"
 #include "radishrail/log.h"
@@ -52,6 +53,9 @@
 // Time from the last accepted job of a pool to its release, in which most of
 // its jobs end. A peer that sent nothing for as long does not count as alive.
 constexpr absl::Duration kReturnDelay = absl::Milliseconds(1500);
+// A pool is not handed to a larger VM again within this time, since that VM may
+// be unable to claim it.
+constexpr absl::Duration kHandOverInterval = absl::Seconds(30);
 constexpr absl::Duration kPullInterval = absl::Milliseconds(400);
 
 std::string EncodeMember(const MemberRecord& member) {
@@ -229,10 +233,12 @@
 
   void OnPeerMessage(const MemberRecord& sender, const PeerMessage& message) {
     Peer& peer = peers_[sender.peer_address];
-    if (peer.record.incarnation != sender.incarnation) {
+    const bool is_new = peer.record.incarnation != sender.incarnation;
+    peer.record = sender;
+    if (is_new) {
       peer.clock_difference.reset();
+      UpdateClaimDelay();
     }
-    peer.record = sender;
     if (const auto* status = std::get_if<PoolStatus>(&message)) {
       OnStatus(peer, *status);
     } else if (const auto* job = std::get_if<PoolJobRequest>(&message)) {
@@ -290,6 +296,7 @@
     self.failure_domain = settings_.failure_domain;
     self.peer_address = settings_.peer_address;
     self.state = MemberState::kReady;
+    self.weight = settings_.cpu_millicores;
     return self;
   }
 
@@ -338,9 +345,19 @@
               peers_[member->peer_address].record = *member;
             }
           }
+          UpdateClaimDelay();
         });
   }
 
+  void UpdateClaimDelay() {
+    uint32_t largest = 0;
+    for (const auto& [address, peer] : peers_) {
+      largest = std::max(largest, peer.record.weight);
+    }
+    ownership_.SetClaimDelay(
+        internal::ClaimDelay(settings_.cpu_millicores, largest));
+  }
+
   void RetryJoin() {
     env_.executor.PostDelayed(kMemberRetry * (0.5 + env_.random.Unit()),
                               [this] { JoinMembers(); });
@@ -554,12 +571,12 @@
   VersionedDocument DocumentOf(const PoolJobRequest& request) const {
     VersionedDocument document;
     document.version = request.document_version;
-    if (documents_.has_value()) {
-      for (const auto& it : documents_->routes) {
-        if (it.document->document.environment == request.environment) {
-          document.document = it.document->document;
-        }
-      }
+    const RoutedDocument* route =
+        documents_.has_value()
+            ? documents_->FindEnvironment(request.environment)
+            : nullptr;
+    if (route != nullptr) {
+      document.document = route->document->document;
     }
     document.document.environment = request.environment;
     document.document.upstream_classes = {request.upstream_class};
@@ -742,7 +759,7 @@
     }
     Log(LogLevel::kInfo, "configuration applied",
         {{"version", absl::StrCat(documents->version)},
-         {"routes", absl::StrCat(documents->routes.size())},
+         {"routes", absl::StrCat(documents->size())},
          {"source", source}});
     document_version_.Set(documents->version);
     documents_ = *std::move(documents);
@@ -754,12 +771,18 @@
       return;
     }
     next_pull_ = now + kPullInterval;
+    std::vector<std::string> newer;
     for (const auto& [address, peer] : peers_) {
       if (peer.document_version > version) {
-        env_.transport.Send(address, DocumentPull{version});
-        return;
+        newer.push_back(address);
       }
     }
+    // At random, so that the daemons that miss a change do not all ask the same
+    // peer: its link would be busy with the answers for seconds.
+    if (!newer.empty()) {
+      env_.transport.Send(newer[env_.random.Below(newer.size())],
+                          DocumentPull{version});
+    }
   }
 
   void SendDocuments(const std::string& address, int64_t after) {
@@ -822,12 +845,11 @@
   }
 
   // Returns the pool of another failure domain when a daemon of that domain is
-  // alive: the pool first stops accepting jobs and is released later.
+  // alive, and hands a pool to a much larger VM: the pool first stops accepting
+  // jobs and is released later.
   void ReturnPools(absl::Time now) {
     for (const auto& it : ownership_.Pools()) {
-      const bool foreign =
-          it != settings_.failure_domain && ownership_.OwnedFence(it) != 0;
-      if (!foreign || !HasLivePeerIn(it, now)) {
+      if (ownership_.OwnedFence(it) == 0 || !HasBetterOwner(it, now)) {
         returning_.erase(it);
         continue;
       }
@@ -838,15 +860,25 @@
         OnOwnershipChanged();
       } else if (entry->second <= now) {
         returning_.erase(entry);
+        next_hand_over_ = now + kHandOverInterval;
         ReleasePool(it);
       }
     }
   }
 
-  bool HasLivePeerIn(const std::string& failure_domain, absl::Time now) const {
+  // True if a daemon of the pool's failure domain is alive that this daemon
+  // gives the pool to.
+  bool HasBetterOwner(const std::string& pool, absl::Time now) const {
+    const bool foreign = pool != settings_.failure_domain;
+    if (!foreign && now < next_hand_over_) {
+      return false;
+    }
     return std::any_of(peers_.begin(), peers_.end(), [&](const auto& it) {
-      return it.second.record.failure_domain == failure_domain &&
-             now - it.second.last_contact < kReturnDelay;
+      const Peer& peer = it.second;
+      return peer.record.failure_domain == pool &&
+             now - peer.last_contact < kReturnDelay &&
+             (foreign || internal::IsMuchLarger(peer.record.weight,
+                                                settings_.cpu_millicores));
     });
   }
 
@@ -876,6 +908,8 @@
   bool handing_over_ = false;
   // Pools that are returned to their failure domain, with the time of release.
   std::map<std::string, absl::Time> returning_;
+  // The pool of the own failure domain is not given to a larger VM before.
+  absl::Time next_hand_over_ = absl::InfinitePast();
   bool drained_ = false;
 };
 
--- a/src/pool_ownership.cc
+++ b/src/pool_ownership.cc
@@ -151,9 +151,10 @@
       (pool.last_contact == absl::InfinitePast() && own_domain
            ? absl::ZeroDuration()
            : settings_.owner_timeout);
-  return std::max(pool.next_try,
-                  timeout_at + (own_domain ? absl::ZeroDuration()
-                                           : settings_.foreign_claim_delay));
+  return std::max(
+      pool.next_try,
+      timeout_at + claim_delay_ +
+          (own_domain ? absl::ZeroDuration() : settings_.foreign_claim_delay));
 }
 
 // A daemon that was disconnected itself received no claims from live owners.
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -29,6 +29,7 @@
   kAddressList,
   kSecret,
   kInteger,
+  kThousandths,  // a decimal number, stored in thousandths
   kBytes,
   kDuration,
   kLogLevel,
@@ -47,8 +48,8 @@
   std::string_view name;
   Type type;
   Field field;
-  // Allowed range of a number, of a duration in milliseconds, or of the length
-  // of a secret in characters.
+  // Allowed range of a number, of a decimal number in thousandths, of a
+  // duration in milliseconds, or of the length of a secret in characters.
   int64_t min;
   int64_t max;
   bool required;
@@ -71,6 +72,10 @@
         "all failure domains, in the same order on all daemons"},
     Key{"daemon", "weight", Type::kInteger, &Settings::weight, 1, 1000, false,
         "relative size of this VM"},
+    Key{"daemon", "cpu_share", Type::kThousandths, &Settings::cpu_millicores, 1,
+        1000000, false,
+        "processor cores of this VM, with `--platform`; larger VMs are "
+        "preferred as owners of pools"},
     Key{"daemon", "caller_address", Type::kAddress, &Settings::caller_address,
         0, 0, false, "listener for callers"},
     Key{"daemon", "operator_address", Type::kAddress,
@@ -146,6 +151,35 @@
   return n;
 }
 
+// Parses a decimal number with up to three decimal places to thousandths.
+std::optional<int64_t> ParseThousandths(std::string_view text) {
+  const size_t point = std::min(text.find('.'), text.size());
+  const std::optional<int64_t> whole = ParseDigits(text.substr(0, point));
+  std::string decimals(text.substr(std::min(point + 1, text.size())));
+  const bool has_point = point < text.size();
+  constexpr int64_t kMaxWhole = 1000000;
+  if (!whole.has_value() || *whole > kMaxWhole || decimals.size() > 3 ||
+      has_point == decimals.empty()) {
+    return std::nullopt;
+  }
+  decimals.resize(3, '0');
+  const std::optional<int64_t> fraction = ParseDigits(decimals);
+  if (!fraction.has_value()) {
+    return std::nullopt;
+  }
+  return *whole * 1000 + *fraction;
+}
+
+std::string FormatThousandths(int64_t n) {
+  std::string text =
+      absl::StrCat(n / 1000, ".", absl::Dec(n % 1000, absl::kZeroPad3));
+  text.erase(text.find_last_not_of('0') + 1);
+  if (text.ends_with('.')) {
+    text.pop_back();
+  }
+  return text;
+}
+
 // Accepts only numeric IPv4 addresses with a port; host names are not used.
 bool IsAddress(std::string_view text) {
   const size_t colon = text.find(':');
@@ -214,6 +248,10 @@
     case Type::kInteger:
     case Type::kBytes:
       return absl::StrCat(key.min, " to ", key.max);
+    case Type::kThousandths:
+      return absl::StrCat(FormatThousandths(key.min), " to ",
+                          FormatThousandths(key.max),
+                          ", up to three decimal places");
     case Type::kDuration:
       return absl::StrCat(FormatMilliseconds(key.min), " to ",
                           FormatMilliseconds(key.max));
@@ -261,7 +299,9 @@
 
 bool AssignNumber(const Key& key, std::string_view text, Settings& settings) {
   const std::optional<int64_t> n =
-      key.type == Type::kDuration ? ParseMilliseconds(text) : ParseDigits(text);
+      key.type == Type::kDuration      ? ParseMilliseconds(text)
+      : key.type == Type::kThousandths ? ParseThousandths(text)
+                                       : ParseDigits(text);
   if (!n.has_value() || *n < key.min || *n > key.max) {
     return false;
   }
@@ -289,6 +329,7 @@
     case Type::kAddressList:
       return AssignList(key, text, settings);
     case Type::kInteger:
+    case Type::kThousandths:
     case Type::kBytes:
     case Type::kDuration:
       return AssignNumber(key, text, settings);
@@ -305,6 +346,7 @@
 
 std::string Format(const Key& key, const Settings& settings) {
   struct Visitor {
+    const Key& key;
     const Settings& settings;
     std::string operator()(std::string Settings::*field) const {
       return settings.*field;
@@ -319,7 +361,8 @@
       return std::string(LogLevelName(settings.*field));
     }
     std::string operator()(uint32_t Settings::*field) const {
-      return absl::StrCat(settings.*field);
+      return key.type == Type::kThousandths ? FormatThousandths(settings.*field)
+                                            : absl::StrCat(settings.*field);
     }
     std::string operator()(int Settings::*field) const {
       return absl::StrCat(settings.*field);
@@ -328,7 +371,7 @@
       return absl::StrCat(settings.*field);
     }
   };
-  return std::visit(Visitor{settings}, key.field);
+  return std::visit(Visitor{key, settings}, key.field);
 }
 
 const Key* FindKey(std::string_view section, std::string_view name) {
@@ -561,6 +604,8 @@
     case Type::kInteger:
     case Type::kBytes:
       return "integer";
+    case Type::kThousandths:
+      return "decimal number";
     case Type::kDuration:
       return "duration";
     case Type::kLogLevel:
--- a/tests/pool_fleet.h
+++ b/tests/pool_fleet.h
@@ -173,6 +173,10 @@
     settings.vm = name;
     settings.failure_domain = daemon.domain;
     settings.peer_address = name;
+    const auto cpu = cpu_millicores.find(name);
+    if (cpu != cpu_millicores.end()) {
+      settings.cpu_millicores = cpu->second;
+    }
     daemon.node = std::make_unique<PoolNode>(
         settings, Codec(), daemon.incarnation,
         PoolNodeDependencies{clock, random_, *daemon.pumped, *daemon.store,
@@ -260,6 +264,8 @@
   SharedRows rows;
   std::map<std::string, std::unique_ptr<FakeRunner>> runners;
   std::map<std::string, ClientJob> jobs;
+  // Sizes of daemons that differ from the default, from their next start on.
+  std::map<std::string, uint32_t> cpu_millicores;
   std::map<JobStatus, int> answers;
   Random& random() { return random_; }
 
@@ -332,7 +338,7 @@
       document->document.retry.max_attempts = 10;
       document->document.retry.budget_percent = 100;
       route.document = std::move(document);
-      documents.routes.push_back(std::move(route));
+      documents.Add(std::move(route));
     }
     return documents;
   }
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -33,6 +33,13 @@
     }
   }
 
+  // Restarts the daemon as a VM of another size.
+  void Resize(const std::string& name, uint32_t cpu_millicores) {
+    fleet_.Kill(name);
+    fleet_.cpu_millicores[name] = cpu_millicores;
+    fleet_.StartDaemon(name);
+  }
+
   PoolFleet fleet_{1, 2, 4};
 };
 
@@ -134,6 +141,42 @@
   EXPECT_EQ(Answers(JobStatus::kComplete), 1);
 }
 
+// Guards against a small VM that owns a pool while a larger one is alive,
+// whichever of them claimed it first.
+TEST_F(PoolFleetTest, Pool_VmsOfUnequalSize_IsOwnedByTheLargest) {
+  constexpr uint32_t kSmall = 90;
+  constexpr uint32_t kLarge = 500;
+  for (const auto& it : {"d1n0", "d1n1"}) {
+    Resize("d1n0", kSmall);
+    Resize("d1n1", kSmall);
+    fleet_.loop.RunFor(absl::Seconds(4));
+    Resize(it, kLarge);
+    fleet_.loop.RunFor(absl::Seconds(6));
+    const int before = fleet_.daemon(it).runners->starts;
+    const int jobs = Answers(JobStatus::kComplete);
+    for (int i = 0; i < 10; ++i) {
+      fleet_.Submit("d1n0", 1);
+      fleet_.loop.RunFor(absl::Milliseconds(200));
+    }
+    EXPECT_EQ(fleet_.daemon(it).runners->starts - before, 10);
+    EXPECT_EQ(Answers(JobStatus::kComplete) - jobs, 10);
+  }
+}
+
+// Guards against a pool that changes its owner again and again since the larger
+// VM cannot claim it.
+TEST_F(PoolFleetTest, Pool_LargerVmCannotClaim_StaysWithSmallVm) {
+  Resize("d1n0", 90);
+  fleet_.Kill("d1n1");
+  fleet_.loop.RunFor(absl::Seconds(4));
+  Resize("d1n1", 500);
+  fleet_.daemon("d1n1").store->reachable = false;
+  fleet_.loop.RunFor(absl::Seconds(6));
+  const int64_t version = fleet_.rows.rows["pools/d1"].version;
+  fleet_.loop.RunFor(absl::Seconds(10));
+  EXPECT_EQ(fleet_.rows.rows["pools/d1"].version, version);
+}
+
 // Guards against tasks that start on a draining runner.
 TEST_F(PoolFleetTest, Runner_Draining_GetsNoNewTasks) {
   for (const auto& it : fleet_.RunnerNames()) {
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -58,6 +58,7 @@
                    "timeout = 250ms\n"
                    "[requests]\nmax_body_bytes = 2048\nidle_timeout = 5s\n"
                    "[daemon]\nlog_level = debug\nweight = 7\n"
+                   "cpu_share = 0.09\n"
                    "[peers]\nseeds = 10.0.0.2:1, 10.0.0.3:2\n"),
       "test.ini", &error);
   ASSERT_TRUE(settings.has_value()) << error.ToString();
@@ -67,6 +68,7 @@
   EXPECT_EQ(settings->idle_timeout, absl::Seconds(5));
   EXPECT_EQ(settings->log_level, LogLevel::kDebug);
   EXPECT_EQ(settings->weight, 7u);
+  EXPECT_EQ(settings->cpu_millicores, 90u);
   EXPECT_EQ(settings->seeds.size(), 2u);
 }
 
