Cancel at the owner what the entry daemon has given up

The cancellation is lost in the partition, contact resumes before the owner notices, and the job goes on there while the client submits it again elsewhere: two runs of a task at once.

Change: status messages carry the number of the oldest job request that the sender still waits for at the receiver, and go out every 100 ms for 2 s after a job was given up; the owner cancels older requests.

Job_GivenUpInShortPartition_NeverRunsTwiceAtOnce fails without it (partitions of 750 and 760 ms).

--- a/include/radishrail/peer_message.h
+++ b/include/radishrail/peer_message.h
@@ -251,7 +251,10 @@
   std::vector<PoolClaim> claims;
   int64_t document_version = 0;
   int64_t sent_us = 0;  // on the sender's monotonic clock
-  MSGPACK_DEFINE(claims, document_version, sent_us);
+  // The sender no longer waits for answers to its job requests with lower
+  // numbers, which the receiver cancels.
+  uint64_t oldest_request = 0;
+  MSGPACK_DEFINE(claims, document_version, sent_us, oldest_request);
 };
 
 // Identical tasks of a job.
--- a/include/radishrail/pool_router.h
+++ b/include/radishrail/pool_router.h
@@ -63,8 +63,12 @@
   void Tick();
 
   size_t pending() const { return pending_.size(); }
-  // True if jobs of this daemon are pending at the peer.
+  // True if jobs of this daemon are pending at the peer, or were until recently
+  // and may continue there.
   bool HasPendingAt(const std::string& address) const;
+  // Number of the oldest request that is pending at the peer, or of the next
+  // one.
+  uint64_t OldestRequestAt(const std::string& address) const;
 
  private:
   // A job and the pools that it was offered to.
@@ -115,6 +119,8 @@
   DecisionLog& log_;
   uint64_t next_request_;
   std::map<uint64_t, Pending> pending_;
+  // Peers at which jobs were given up, and until when they are told so.
+  absl::flat_hash_map<std::string, absl::Time> given_up_until_;
   absl::flat_hash_map<std::string, PoolLoad> loads_;
 };
 
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -394,8 +394,9 @@
     if (due.empty()) {
       return;
     }
-    const PoolStatus status = MakeStatus();
+    PoolStatus status = MakeStatus();
     for (const auto& it : due) {
+      status.oldest_request = router_.OldestRequestAt(it);
       env_.transport.Send(it, status);
     }
     for (const auto& it : status.claims) {
@@ -455,10 +456,29 @@
     return difference - *peer.clock_difference;
   }
 
+  // Cancels the jobs that their entry daemon has given up.
+  void CancelGivenUpJobs(const std::string& address, uint64_t oldest_request) {
+    const auto it = keys_of_entry_.find(address);
+    if (it == keys_of_entry_.end()) {
+      return;
+    }
+    std::vector<std::string> given_up;
+    for (const auto& [key, number] : it->second) {
+      const auto job = forwarded_.find(number);
+      if (job != forwarded_.end() && job->second.request < oldest_request) {
+        given_up.push_back(key);
+      }
+    }
+    for (const auto& key : given_up) {
+      dispatcher_.Cancel(key, ErrorCode::kConnectionBroken);
+    }
+  }
+
   void OnStatus(Peer& peer, const PoolStatus& status) {
     const absl::Time sent =
         env_.clock.Monotonic() - ExcessTransitTime(peer, status.sent_us);
     peer.last_contact = std::max(peer.last_contact, sent);
+    CancelGivenUpJobs(peer.record.peer_address, status.oldest_request);
     peer.document_version = status.document_version;
     for (const auto& it : status.claims) {
       ownership_.SetPools({it.pool});
--- a/src/pool_router.cc
+++ b/src/pool_router.cc
@@ -24,6 +24,9 @@
 // Number of pools that a job is offered to before it is refused.
 constexpr size_t kMaxOffers = 3;
 constexpr absl::Duration kNoOwnerRetry = absl::Milliseconds(500);
+// Exceeds the time after which an owner cancels the jobs of an entry daemon
+// that it does not hear.
+constexpr absl::Duration kGivenUpNoticeTime = absl::Seconds(2);
 
 int SlotsOf(const JobSpec& job) {
   int slots = 0;
@@ -253,8 +256,10 @@
   unknown_.Add();
   const std::string& key = pending.offer->job.key;
   // The owner may be alive and reach its upstreams; it must not continue a job
-  // that the caller may submit again.
+  // that the caller may submit again. The cancellation may be lost, so the
+  // status messages repeat it.
   transport_.Send(pending.address, PoolJobCancel{0, key});
+  given_up_until_[pending.address] = clock_.Monotonic() + kGivenUpNoticeTime;
   JobAnswer answer;
   answer.key = key;
   answer.status = JobStatus::kFailed;
@@ -273,6 +278,8 @@
   for (auto it = pending_.begin(); it != pending_.end(); ++it) {
     if (it->second.offer->job.key == key) {
       transport_.Send(it->second.address, PoolJobCancel{0, std::string(key)});
+      given_up_until_[it->second.address] =
+          clock_.Monotonic() + kGivenUpNoticeTime;
       pending_.erase(it);
       return;
     }
@@ -294,6 +301,8 @@
 
 void PoolRouter::Tick() {
   const absl::Time now = clock_.Monotonic();
+  absl::erase_if(given_up_until_,
+                 [now](const auto& it) { return it.second <= now; });
   std::vector<uint64_t> owner_lost;
   std::vector<uint64_t> late;
   for (const auto& [request, pending] : pending_) {
@@ -313,7 +322,21 @@
   }
 }
 
+uint64_t PoolRouter::OldestRequestAt(const std::string& address) const {
+  for (const auto& [request, pending] : pending_) {
+    if (pending.address == address) {
+      return request;
+    }
+  }
+  return next_request_;
+}
+
 bool PoolRouter::HasPendingAt(const std::string& address) const {
+  const auto given_up = given_up_until_.find(address);
+  if (given_up != given_up_until_.end() &&
+      given_up->second > clock_.Monotonic()) {
+    return true;
+  }
   return std::any_of(pending_.begin(), pending_.end(), [&](const auto& it) {
     return it.second.address == address;
   });
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -308,6 +308,34 @@
   EXPECT_THAT(fleet_.log.violations, IsEmpty());
 }
 
+// Guards against an owner that continues a job after the entry daemon gave it
+// up: the partition ends before the owner considers the entry daemon
+// unresponsive, and the cancellation was lost in it.
+TEST(PoolFleetPartitionTest, Job_GivenUpInShortPartition_NeverRunsTwiceAtOnce) {
+  for (int ms = 700; ms <= 1000; ms += 10) {
+    SCOPED_TRACE(absl::StrCat("partition of ", ms, " ms"));
+    PoolFleet fleet(1, 1, 2);
+    for (const auto& [name, runner] : fleet.runners) {
+      runner->run_time = absl::Milliseconds(2900);
+      fleet.PutRunner(name, name.starts_with("d1") ? "draining" : "ready");
+    }
+    fleet.loop.RunFor(absl::Seconds(2));
+    fleet.Submit("d1n0", 1);
+    for (const auto& it : fleet.RunnerNames()) {
+      if (it.starts_with("d1")) {
+        fleet.runners[it]->Crash();
+        fleet.PutRunner(it, "ready");
+      }
+    }
+    fleet.loop.RunFor(absl::Milliseconds(550));
+    fleet.Isolate("d1");
+    fleet.loop.RunFor(absl::Milliseconds(ms));
+    fleet.Heal();
+    fleet.loop.RunFor(absl::Seconds(6));
+    EXPECT_THAT(fleet.log.violations, IsEmpty());
+  }
+}
+
 // Injects random faults, in sequence and overlapping; checks the invariants
 // throughout and that jobs complete afterwards.
 class PoolFleetFaultTest : public testing::TestWithParam<uint64_t> {
