Offer jobs to other pools while an owner is silent

Change: a pool whose owner has been silent for over 250 ms (it reports every 100 ms) counts as having a wait of at least the time of the silence, so another pool gets the job if it is not silent too. Jobs that are pending at the owner are not affected.

Submit_OwnerOfOwnDomainIsSilent_IsOfferedToOtherPool fails without it.

--- a/include/radishrail/pool_router.h
+++ b/include/radishrail/pool_router.h
@@ -100,6 +100,8 @@
   // Claim of the untried pool with the least expected wait. A copy, since the
   // owner may time out before the offer is made.
   std::optional<PoolClaim> ChoosePool(const Offer& offer) const;
+  absl::Duration SilencePenalty(const std::string& pool,
+                                const PoolLoad& load) const;
   void MakeOffer(const OfferPointer& offer, const PoolClaim& pool);
   void Answer(const OfferPointer& offer, const JobAnswer& answer);
   void Forward(const PoolClaim& owner, const OfferPointer& offer);
--- a/src/pool_router.cc
+++ b/src/pool_router.cc
@@ -19,6 +19,9 @@
 // A pool of another failure domain is chosen only if its expected wait is
 // shorter by this much.
 constexpr absl::Duration kForeignPenalty = absl::Milliseconds(25);
+// Owners report ten times a second. An owner that is silent for longer may be
+// gone; its jobs would be lost when it counts as unresponsive.
+constexpr absl::Duration kReportOverdue = absl::Milliseconds(250);
 // Time after a job's deadline in which the owner's reply is still accepted.
 constexpr absl::Duration kReplyGracePeriod = absl::Milliseconds(200);
 // Number of pools that a job is offered to before it is refused.
@@ -106,6 +109,7 @@
     if (name != failure_domain_) {
       wait += kForeignPenalty;
     }
+    wait += SilencePenalty(name, it);
     if (wait < best_wait) {
       best_wait = wait;
       best = *owner;
@@ -114,6 +118,15 @@
   return best;
 }
 
+// A job waits at a silent owner for at least as long as the silence has lasted.
+absl::Duration PoolRouter::SilencePenalty(const std::string& pool,
+                                          const PoolLoad& load) const {
+  const absl::Duration age = clock_.Monotonic() - load.reported;
+  return age <= kReportOverdue || ownership_.OwnedFence(pool) != 0
+             ? absl::ZeroDuration()
+             : age;
+}
+
 void PoolRouter::Submit(JobSpec job,
                         const RoutedDocument& route,
                         AnswerCallback callback) {
--- a/tests/pool_router_test.cc
+++ b/tests/pool_router_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "fake_store.h"
 #include "fakes.h"
 #include "gtest/gtest.h"
@@ -32,15 +33,15 @@
     document->document.environment = "queue";
     route_.document = std::move(document);
     route_.base = absl::Seconds(1);
-    ownership_.SetPools({"d1"});
+    ownership_.SetPools({"d1", "d2"});
   }
 
-  void ReceiveClaim() {
+  void ReceiveClaim(const std::string& pool = "d1") {
     PoolClaim claim;
-    claim.pool = "d1";
+    claim.pool = pool;
     claim.fence = ++fence_;
-    claim.owner = "vm-owner";
-    claim.address = "10.0.0.1:7302";
+    claim.owner = absl::StrCat("owner of ", pool);
+    claim.address = absl::StrCat("10.0.0.", pool == "d1" ? 1 : 2, ":7302");
     claim.accepting = true;
     claim.slots = 64;
     ownership_.OnClaim(claim, clock_.Monotonic());
@@ -96,6 +97,32 @@
   EXPECT_FALSE(transport_.sent.empty());
 }
 
+// Guards against jobs that are lost with an owner that is gone but does not yet
+// count as unresponsive.
+TEST_F(PoolRouterTest, Submit_OwnerOfOwnDomainIsSilent_IsOfferedToOtherPool) {
+  ReceiveClaim("d1");
+  ReceiveClaim("d2");
+  Submit();
+  ASSERT_EQ(transport_.sent.size(), 1u);
+  EXPECT_EQ(transport_.sent.back().first, "10.0.0.1:7302");
+  clock_.Advance(settings_.owner_timeout / 2);
+  ReceiveClaim("d2");
+  Submit();
+  ASSERT_EQ(transport_.sent.size(), 2u);
+  EXPECT_EQ(transport_.sent.back().first, "10.0.0.2:7302");
+}
+
+// Guards against jobs that are refused since all owners report late, as on a
+// slow entry daemon.
+TEST_F(PoolRouterTest, Submit_AllOwnersAreSilent_IsOfferedToOwnDomain) {
+  ReceiveClaim("d1");
+  ReceiveClaim("d2");
+  clock_.Advance(settings_.owner_timeout / 2);
+  Submit();
+  ASSERT_EQ(transport_.sent.size(), 1u);
+  EXPECT_EQ(transport_.sent.back().first, "10.0.0.1:7302");
+}
+
 // Guards against jobs that are offered to an unresponsive owner.
 TEST_F(PoolRouterTest, Submit_OwnerIsUnresponsive_IsRefusedAsNotRun) {
   ReceiveClaim();
