--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "http_json.h"
+#include "json_text.h"
 
 namespace radishrail {
 
@@ -82,7 +83,8 @@
     respond(key.empty()
                 ? JsonError({ErrorCode::kDraining, Step::kOwnership, "",
                              "the daemon is shutting down"})
-                : JsonResponse(200, nlohmann::json({{"key", key}}).dump()));
+                : JsonResponse(
+                      200, internal::JsonText(nlohmann::json({{"key", key}}))));
   });
 }
 
--- a/src/daemon/operator_api.cc
+++ b/src/daemon/operator_api.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "http_json.h"
+#include "json_text.h"
 #include "radishrail/document.h"
 #include "radishrail/job_json.h"
 #include "radishrail/log.h"
@@ -51,7 +52,7 @@
                        : result.outcome == ChangeOutcome::kUnknown
                            ? 504
                            : HttpStatusOf(result.error);
-    respond(JsonResponse(status, body.dump()));
+    respond(JsonResponse(status, internal::JsonText(body)));
   };
 }
 
@@ -171,7 +172,7 @@
     for (const auto& it : node_.documents().List()) {
       list.push_back(StatusToJson(it));
     }
-    respond(JsonResponse(200, list.dump()));
+    respond(JsonResponse(200, internal::JsonText(list)));
   });
 }
 
@@ -204,7 +205,7 @@
     body["revision"] = document->revision;
     body["document"] =
         nlohmann::ordered_json::parse(document->body, nullptr, false);
-    respond(JsonResponse(200, body.dump()));
+    respond(JsonResponse(200, internal::JsonText(body)));
   });
 }
 
--- a/src/document_rows.cc
+++ b/src/document_rows.cc
@@ -7,6 +7,7 @@
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
+#include "json_text.h"
 #include "name_table.h"
 #include "xxhash.h"
 
@@ -92,7 +93,7 @@
 }
 
 std::string EncodeHead(int64_t revision) {
-  return Json{{"revision", revision}}.dump();
+  return JsonText(Json{{"revision", revision}});
 }
 
 std::optional<int64_t> DecodeHead(std::string_view value) {
@@ -107,13 +108,12 @@
     candidates.push_back(
         {{"version", it.version}, {"body_hash", it.body_hash}});
   }
-  return Json{{"trial", StageToJson(row.trial)},
-              {"production", StageToJson(row.production)},
-              {"last_version", row.last_version},
-              {"revision", row.revision},
-              {"operation", row.operation},
-              {"candidates", std::move(candidates)}}
-      .dump();
+  return JsonText(Json{{"trial", StageToJson(row.trial)},
+                       {"production", StageToJson(row.production)},
+                       {"last_version", row.last_version},
+                       {"revision", row.revision},
+                       {"operation", row.operation},
+                       {"candidates", std::move(candidates)}});
 }
 
 std::optional<EnvironmentRow> DecodeEnvironment(std::string_view value) {
@@ -133,11 +133,10 @@
 }
 
 std::string EncodeLog(const LogRow& row) {
-  return Json{{"environment", row.environment},
-              {"stage", StageName(row.stage)},
-              {"version", row.version},
-              {"body_hash", row.body_hash}}
-      .dump();
+  return JsonText(Json{{"environment", row.environment},
+                       {"stage", StageName(row.stage)},
+                       {"version", row.version},
+                       {"body_hash", row.body_hash}});
 }
 
 std::optional<LogRow> DecodeLog(std::string_view value) {
@@ -152,14 +151,13 @@
 }
 
 std::string EncodeOperation(const OperationRow& row) {
-  return Json{{"state", NameOf(kOperationStates, row.state)},
-              {"environment", row.environment},
-              {"request", row.request},
-              {"version", row.version},
-              {"revision", row.revision},
-              {"code", ErrorCodeName(row.code)},
-              {"detail", row.detail}}
-      .dump(-1, ' ', false, Json::error_handler_t::replace);
+  return JsonText(Json{{"state", NameOf(kOperationStates, row.state)},
+                       {"environment", row.environment},
+                       {"request", row.request},
+                       {"version", row.version},
+                       {"revision", row.revision},
+                       {"code", ErrorCodeName(row.code)},
+                       {"detail", row.detail}});
 }
 
 std::optional<OperationRow> DecodeOperation(std::string_view value) {
--- a/src/job_json.cc
+++ b/src/job_json.cc
@@ -11,6 +11,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/string_view.h"
+#include "json_text.h"
 #include "xxhash.h"
 
 namespace radishrail {
@@ -391,8 +392,7 @@
     out.append(1, '"').append(text).append(1, '"');
     return;
   }
-  out.append(Json(std::string(text))
-                 .dump(-1, ' ', false, Json::error_handler_t::replace));
+  out.append(internal::JsonText(Json(std::string(text))));
 }
 
 void AppendMember(std::string& out,
--- a/src/node.cc
+++ b/src/node.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "json_text.h"
 #include "radishrail/forwarder.h"
 #include "radishrail/job_controller.h"
 #include "radishrail/job_json.h"
@@ -229,7 +230,7 @@
                                     {"slots", it.info.slots},
                                     {"speed", it.speed}});
     }
-    return fleet.dump();
+    return internal::JsonText(fleet);
   }
 
  private:
--- a/src/ownership.cc
+++ b/src/ownership.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "json_text.h"
 #include "nlohmann/json.hpp"
 #include "radishrail/random.h"
 
@@ -68,7 +69,7 @@
     row["by"] = lease.fenced_by;
     row["by_incarnation"] = lease.fenced_by_incarnation;
   }
-  return row.dump();
+  return internal::JsonText(row);
 }
 
 std::optional<Lease> DecodeLease(const std::string& value) {
@@ -102,7 +103,7 @@
   for (const auto& it : ranges) {
     row.push_back({it.vm, it.incarnation, it.epoch, it.takeover_ms});
   }
-  return row.dump();
+  return internal::JsonText(row);
 }
 
 std::optional<Ranges> DecodeRanges(const Row& row) {
--- a/src/platform_store.cc
+++ b/src/platform_store.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "json_text.h"
+
 namespace radishrail {
 
 namespace {
@@ -214,10 +216,7 @@
 
 void HttpStore::Transact(Transaction transaction, TransactCallback callback) {
   HttpClientRequest request = NewRequest("POST", "/transact");
-  // Rows hold JSON documents. Invalid UTF-8 is replaced, since dump() throws on
-  // it by default.
-  request.body =
-      ToJson(transaction).dump(-1, ' ', false, json::error_handler_t::replace);
+  request.body = internal::JsonText(ToJson(transaction));
   client_.Send(std::move(request), [peer = settings_.address,
                                     callback = std::move(callback)](
                                        const HttpResult& result) {
--- a/src/timeline.cc
+++ b/src/timeline.cc
@@ -8,6 +8,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/string_view.h"
+#include "json_text.h"
 #include "name_table.h"
 
 namespace radishrail {
@@ -47,11 +48,6 @@
      {"peer", &Event::peer},
      {"cause", &Event::cause}}};
 
-// Replaces invalid UTF-8 in external input, so that the result is valid JSON.
-std::string Dump(const Json& json) {
-  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
 Json EventToJson(const Event& event) {
   Json json;
   json["type"] = EventTypeName(event.type);
@@ -203,7 +199,7 @@
   for (const auto& it : events) {
     json.push_back(EventToJson(it));
   }
-  return Dump(Json{{"events", std::move(json)}});
+  return internal::JsonText(Json{{"events", std::move(json)}});
 }
 
 std::optional<std::vector<Event>> EventsFromJson(std::string_view body) {
@@ -281,7 +277,7 @@
   Json json;
   json["traceEvents"] = std::move(trace);
   json["displayTimeUnit"] = "ms";
-  return Dump(json);
+  return internal::JsonText(json);
 }
 
 }  // namespace radishrail
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -57,6 +57,30 @@
   EXPECT_THAT(error_.detail, HasSubstr("stored"));
 }
 
+// Guards against a daemon that ends with an exception since a client named a
+// job by bytes that are no text.
+TEST_F(WireTest, EncodeOrders_TextIsNotUtf8_IsReplaced) {
+  StartOrder start;
+  start.job_key = "\xff\xfe";
+  start.task_id = "0.0.0";
+  start.payload = "\xc3";
+  EXPECT_THAT(EncodeStart(start), HasSubstr("0.0.0"));
+  StopOrder stop;
+  stop.job_key = "\xff";
+  stop.task_id = "0.0.0";
+  EXPECT_THAT(EncodeStop(stop), HasSubstr("0.0.0"));
+}
+
+// Guards against names of tasks that cannot be split again.
+TEST_F(WireTest, IsJobId_OtherCharactersOrLength_IsFalse) {
+  EXPECT_TRUE(IsJobId("5c0e7a21d94b36f8"));
+  EXPECT_TRUE(IsJobId("a-B_9"));
+  for (const char* it : {"", "\xff", "a.b", "a/b", "a b", "a\n"}) {
+    EXPECT_FALSE(IsJobId(it)) << it;
+  }
+  EXPECT_FALSE(IsJobId(std::string(65, 'a')));
+}
+
 TEST_F(WireTest, DecodeJob_Malformed_IsInvalid) {
   for (const char* it : {"", "[]", "{", "{\"steps\":[]}"}) {
     EXPECT_FALSE(DecodeJob(it, &error_).has_value()) << it;
