Place no task on a runner that has just become unusable

Tasks were placed between the moment in which a runner became unusable or was removed and the next tick, which updates the scheduler; each of them used up a retry of the runner and the environment, and the jobs failed though nothing had run.

Change: the scheduler's list is updated before tasks are placed; a runner that refuses a connection, or whose address belongs to another instance, becomes unusable before the result of the order is reported.

--- a/include/radishrail/pool_dispatcher.h
+++ b/include/radishrail/pool_dispatcher.h
@@ -68,6 +68,7 @@
 
   void ApplyChanges();
   void UpdateList();
+  void PlaceTasks();
 
   const Clock& clock_;
   std::unique_ptr<Scheduler> scheduler_;
--- a/src/leased_upstream_client.cc
+++ b/src/leased_upstream_client.cc
@@ -431,6 +431,8 @@
       }
       break;
     case OrderStatus::kOtherInstance:
+      // Unusable first, since the result may cause the next start.
+      SetUsable(runner, false);
       refuse(ErrorCode::kUnreachable);
       OnOtherInstance(runner);
       break;
@@ -444,11 +446,11 @@
       refuse(ErrorCode::kUnreachable);
       break;
     case OrderStatus::kNotSent:
-      refuse(reply.error.code == ErrorCode::kDeadlineExceeded
-                 ? ErrorCode::kDeadlineExceeded
-                 : ErrorCode::kUnreachable);
-      if (reply.error.code != ErrorCode::kDeadlineExceeded) {
+      if (IsTimeout(reply)) {
+        refuse(ErrorCode::kDeadlineExceeded);
+      } else {
         SetUsable(runner, false);
+        refuse(ErrorCode::kUnreachable);
       }
       break;
     case OrderStatus::kNoAnswer:
--- a/src/pool_dispatcher.cc
+++ b/src/pool_dispatcher.cc
@@ -44,7 +44,7 @@
       std::move(start),
       [this, callback = std::move(callback)](TaskResult result) {
         callback(std::move(result));
-        dispatcher_.jobs_.PlaceTasks();
+        dispatcher_.PlaceTasks();
       });
 }
 
@@ -85,8 +85,18 @@
 void PoolDispatcher::SetRunners(
     std::vector<LeasedUpstreamClient::OwnedRunner> runners) {
   runners_ = std::move(runners);
-  client_.SetRunners(runners_);
+  // Set before, since runs on removed runners end within the call.
   list_changed_ = true;
+  client_.SetRunners(runners_);
+}
+
+// A task that is placed on a runner that is no longer usable counts as a retry,
+// so a few of them would exhaust the retry budgets.
+void PoolDispatcher::PlaceTasks() {
+  if (list_changed_) {
+    UpdateList();
+  }
+  jobs_.PlaceTasks();
 }
 
 void PoolDispatcher::UpdateList() {
@@ -116,7 +126,7 @@
                             std::shared_ptr<const VersionedDocument> document,
                             JobController::AnswerCallback callback) {
   jobs_.Accept(std::move(job), std::move(document), std::move(callback));
-  jobs_.PlaceTasks();
+  PlaceTasks();
 }
 
 bool PoolDispatcher::Cancel(std::string_view key, ErrorCode reason) {
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -141,6 +141,25 @@
   EXPECT_EQ(Answers(JobStatus::kComplete), 1);
 }
 
+// Guards against tasks that are placed, one after the other, on a runner that
+// refuses connections: the retry budgets run out and jobs fail.
+TEST_F(PoolFleetTest, Runner_RefusesConnections_GetsNoTasksAfterTheFirst) {
+  constexpr int kSlots = 2;
+  for (const auto& it : fleet_.Names()) {
+    fleet_.daemon(it).runners->refused.insert("d1r0");
+  }
+  for (int i = 0; i < 12; ++i) {
+    fleet_.Submit("d1n0", 2);
+  }
+  fleet_.loop.RunFor(absl::Seconds(4));
+  int starts = 0;
+  for (const auto& it : fleet_.Names()) {
+    starts += fleet_.daemon(it).runners->starts_of["d1r0"];
+  }
+  EXPECT_LE(starts, kSlots);
+  EXPECT_EQ(Answers(JobStatus::kComplete), 12);
+}
+
 // Guards against a small VM that owns a pool while a larger one is alive,
 // whichever of them claimed it first.
 TEST_F(PoolFleetTest, Pool_VmsOfUnequalSize_IsOwnedByTheLargest) {
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -328,6 +328,8 @@
 
   std::map<std::string, FakeRunner*> runners;  // by address
   std::set<std::string> cut;
+  std::set<std::string> refused;         // connections are refused
+  std::map<std::string, int> starts_of;  // orders to start, by address
   std::set<std::string> answers_lost;  // orders are delivered, answers are lost
   bool dead = false;  // the daemon was killed: no orders, no answers
   // If positive, start orders are executed after this delay, without an answer.
@@ -339,6 +341,7 @@
 
   void Start(StartOrder order, OrderCallback callback) override {
     ++starts;
+    ++starts_of[order.runner.address];
     FakeRunner* runner = Find(order.runner.address);
     if (start_delay > absl::ZeroDuration()) {
       // The order waits in the runner's process and is lost if that restarts.
@@ -390,6 +393,11 @@
     reply->error = {ErrorCode::kDeadlineExceeded, Step::kHandOver, "", ""};
   }
   static void SetUnanswered(HoldReply* reply) { SetUnanswered(&reply->order); }
+  static void SetNotSent(OrderReply* reply) {
+    reply->status = OrderStatus::kNotSent;
+    reply->error = {ErrorCode::kUnreachable, Step::kHandOver, "", ""};
+  }
+  static void SetNotSent(HoldReply* reply) { SetNotSent(&reply->order); }
 
   template <typename Reply>
   void Unanswered(absl::Duration timeout, std::function<void(Reply)> callback) {
@@ -430,7 +438,12 @@
         callback(std::move(reply));
       }
     };
-    if (random_.Unit() < late_share) {
+    if (refused.contains(address)) {
+      Reply reply;
+      SetNotSent(&reply);
+      daemon_.PostDelayed(absl::Milliseconds(2),
+                          [once, reply] { once(reply); });
+    } else if (random_.Unit() < late_share) {
       ExecuteLate(Find(address), std::move(carry_out));
     } else if (!cut.contains(address) && Find(address) != nullptr) {
       loop_.PostDelayed(absl::Milliseconds(1), [this, address, once,
