Use a restarted runner only after it has answered

Cause (fleet test, seed 7267 of 7000 to 7699): a runner restarts, and its clock starts anew. Until it answers, its owner computes leases by the former clock, so the lease in an order did not limit how late the order could start its run; the run began two seconds after the job had ended, beside the run of the resubmitted job.

Change: a runner whose row shows another incarnation is unusable until it has answered. The seed is a case of the test. What stays possible: the time between the restart and its row, up to a second.

--- a/src/leased_upstream_client.cc
+++ b/src/leased_upstream_client.cc
@@ -305,8 +305,10 @@
       runner = std::move(existing->second);
       former.erase(existing);
       // Runs may already have been started in the new incarnation, so only the
-      // runner's lists show which ones were lost.
+      // runner's lists show which ones were lost. Its clock has started anew: a
+      // lease by the former clock would not limit a late start.
       if (it.info.incarnation != runner->info.incarnation) {
+        SetUsable(runner, false);
         runner->next_hold = absl::InfinitePast();
       }
     } else {
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -488,6 +488,12 @@
       << fleet.TraceOfIncomplete();
 }
 
+// Seed 7267: a late order started a run on a restarted runner, under a lease by
+// the clock of the runner's former incarnation.
+INSTANTIATE_TEST_SUITE_P(FormerViolations,
+                         PoolFleetFaultTest,
+                         testing::Values(7267));
+
 INSTANTIATE_TEST_SUITE_P(
     Seeds,
     PoolFleetFaultTest,
