--- a/src/owner_choice.h
+++ b/src/owner_choice.h
@@ -6,8 +6,8 @@
 #include "absl/time/time.h"
 
 // Which VM owns a pool if VMs have unequal sizes. An owner starts every task of
-// its pool and reads every runner's list, which a small VM cannot do for a large
-// pool.
+// its pool and reads every runner's list, which a small VM cannot do for a
+// large pool.
 namespace radishrail::internal {
 
 // Delay before a VM claims a pool without an owner, so that the largest VM that
