--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -92,6 +92,7 @@
 
 struct KnownRunner {
   VmInfo info;
+  int64_t row_version = 0;
   std::optional<absl::Time> missing_since;
 };
 
@@ -121,7 +122,7 @@
             env.clock,
             env.random,
             env.store,
-            [this](const std::string&) { OnOwnershipChanged(); }),
+            [this](const std::string& pool) { OnOwnerChanged(pool); }),
         dispatcher_(
             settings.failure_domain,
             settings.lease,
@@ -687,6 +688,7 @@
 
   void OnRunnerRows(const std::vector<Row>& rows, bool is_snapshot) {
     const absl::Time now = env_.clock.Monotonic();
+    runners_read_ = now;
     std::set<std::string> present;
     for (const auto& it : rows) {
       present.insert(it.key);
@@ -702,7 +704,9 @@
         continue;
       }
       KnownRunner& runner = runners_[it.key];
+      LogStateChange(runner, *info, it.version);
       runner.info = *std::move(info);
+      runner.row_version = it.version;
       runner.missing_since.reset();
     }
     if (is_snapshot) {
@@ -715,6 +719,23 @@
     ApplyRunners();
   }
 
+  // Reports on runners of other pools are left to their owners.
+  void LogStateChange(const KnownRunner& known,
+                      const VmInfo& info,
+                      int64_t row_version) {
+    const bool was_leaving = known.info.state == VmState::kLeaving;
+    const bool leaving = info.state == VmState::kLeaving;
+    if (leaving == was_leaving ||
+        ownership_.OwnedFence(info.failure_domain) == 0) {
+      return;
+    }
+    Log(LogLevel::kInfo,
+        leaving ? "runner is leaving" : "runner no longer leaving",
+        {{"upstream", info.vm},
+         {"row_version", absl::StrCat(row_version)},
+         {"row_version_before", absl::StrCat(known.row_version)}});
+  }
+
   void MarkMissing(const std::string& key, absl::Time now) {
     const auto it = runners_.find(key);
     if (it != runners_.end() && !it->second.missing_since.has_value()) {
@@ -751,6 +772,17 @@
     dispatcher_.SetRunners(std::move(owned));
   }
 
+  void OnOwnerChanged(const std::string& pool) {
+    if (ownership_.OwnedFence(pool) != 0) {
+      Log(LogLevel::kInfo, "pool acquired",
+          {{"pool", pool},
+           {"runner_rows_age_ms",
+            absl::StrCat(absl::ToInt64Milliseconds(env_.clock.Monotonic() -
+                                                   runners_read_))}});
+    }
+    OnOwnershipChanged();
+  }
+
   void OnOwnershipChanged() {
     ApplyRunners();
     runner_watcher_.SetPollInterval(OwnsAnyPool() ? kOwnerPollInterval
@@ -918,8 +950,9 @@
   StoreWatcher document_watcher_;
   Counter& malformed_rows_;
   Gauge& document_version_;
-  std::map<std::string, Peer> peers_;           // by address
-  std::map<std::string, KnownRunner> runners_;  // by row key
+  std::map<std::string, Peer> peers_;               // by address
+  std::map<std::string, KnownRunner> runners_;      // by row key
+  absl::Time runners_read_ = absl::InfinitePast();  // last rows of runners
   std::optional<RoutedDocuments> documents_;
   absl::flat_hash_map<uint64_t, ForwardedJob> forwarded_;
   std::map<std::string, std::map<std::string, uint64_t>> keys_of_entry_;
--- a/src/store_watcher.cc
+++ b/src/store_watcher.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "radishrail/log.h"
 
 namespace radishrail {
@@ -44,6 +45,11 @@
           return;
         }
         OnAnswer();
+        Log(LogLevel::kInfo, "snapshot of the store read",
+            {{"prefix", prefix_},
+             {"version", absl::StrCat(changes->next)},
+             {"version_before", absl::StrCat(version_)},
+             {"rows", absl::StrCat(changes->rows.size())}});
         has_snapshot_ = true;
         version_ = changes->next;
         on_rows_(changes->rows, true);
@@ -72,25 +78,29 @@
 }
 
 void StoreWatcher::WatchChanges() {
-  store_.Watch(prefix_, version_, wait_,
-               [this, alive = std::weak_ptr<const bool>(alive_)](
-                   std::optional<Store::Changes> changes, const Error& error) {
-                 if (alive.expired() || stopped_) {
-                   return;
-                 }
-                 if (!changes.has_value()) {
-                   has_snapshot_ =
-                       has_snapshot_ && error.code != ErrorCode::kNotFound;
-                   OnFailure(error);
-                   return;
-                 }
-                 OnAnswer();
-                 version_ = std::max(version_, changes->next);
-                 if (!changes->rows.empty()) {
-                   on_rows_(changes->rows, false);
-                 }
-                 ScheduleWatch();
-               });
+  store_.Watch(
+      prefix_, version_, wait_,
+      [this, alive = std::weak_ptr<const bool>(alive_)](
+          std::optional<Store::Changes> changes, const Error& error) {
+        if (alive.expired() || stopped_) {
+          return;
+        }
+        if (!changes.has_value()) {
+          if (error.code == ErrorCode::kNotFound) {
+            Log(LogLevel::kInfo, "history of the store discarded",
+                {{"prefix", prefix_}, {"version", absl::StrCat(version_)}});
+            has_snapshot_ = false;
+          }
+          OnFailure(error);
+          return;
+        }
+        OnAnswer();
+        version_ = std::max(version_, changes->next);
+        if (!changes->rows.empty()) {
+          on_rows_(changes->rows, false);
+        }
+        ScheduleWatch();
+      });
 }
 
 void StoreWatcher::OnAnswer() {
