Read the feed of the store to its end

What callers saw: tasks on runners that had left some seconds before are lost and run again late (DRAIN on the grown sites). StoreWatcher took it for all changes and waited for the poll interval. 350 runners write 233 rows a second, so a daemon that polls every 5.5 s falls behind by more than half of the time, until the history of 20 s ends; an owner falls behind beyond some 1,850 runners.

--- a/include/radishrail/store.h
+++ b/include/radishrail/store.h
@@ -91,6 +91,8 @@
   struct Changes {
     std::vector<Row> rows;  // deleted rows have version 0
     int64_t next = 0;       // version for the next call of `Watch`
+    // The answer was full: the next call returns further changes at once.
+    bool truncated = false;
   };
   using WatchCallback = std::function<void(std::optional<Changes>, Error)>;
   // All rows whose key begins with `prefix`, as of one point in time.
--- a/include/radishrail/store_watcher.h
+++ b/include/radishrail/store_watcher.h
@@ -33,9 +33,8 @@
 
   void Start();
   void Stop() { stopped_ = true; }
-  // Sets the time from an answer to the next call. Changes in between arrive in
-  // one answer, which bounds the number of calls however often rows change. A
-  // shorter interval takes effect at once.
+  // Sets the time from an answer to the next call; after a full answer the next
+  // call follows at once. A shorter interval takes effect at once.
   void SetPollInterval(absl::Duration interval);
   // False from the first failed call until the next answer.
   bool store_reachable() const { return store_reachable_; }
--- a/src/store_watcher.cc
+++ b/src/store_watcher.cc
@@ -99,7 +99,11 @@
         if (!changes->rows.empty()) {
           on_rows_(changes->rows, false);
         }
-        ScheduleWatch();
+        if (changes->truncated) {
+          WatchChanges();
+        } else {
+          ScheduleWatch();
+        }
       });
 }
 
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -7,6 +7,7 @@
 
 #include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "gtest/gtest.h"
 #include "radishrail/clock.h"
 #include "radishrail/control_loop.h"
@@ -113,6 +114,29 @@
 }
 
 // Guards against a watch that continues after it has missed changes.
+// Guards against a full answer that is taken for all changes.
+TEST_F(PlatformAdapterTest, Watch_AnswerTruncated_SaysSo) {
+  Respond("/rows-feed", 200,
+          absl::StrCat(R"({"rows":[)", MakeRow("a", "x"),
+                       R"(],"ver":12,"truncated":true})"));
+  const auto [changes, error] = Watch();
+  ASSERT_TRUE(changes.has_value());
+  EXPECT_TRUE(changes->truncated);
+}
+
+// Guards against the same if the answer is full but not marked as truncated.
+TEST_F(PlatformAdapterTest, Watch_AnswerHasMaximumOfRows_SaysTruncated) {
+  constexpr int kMaxRows = 500;
+  std::vector<std::string> rows;
+  for (int i = 0; i < kMaxRows; ++i) {
+    rows.push_back(MakeRow(absl::StrCat("a", i), "x"));
+  }
+  Respond("/rows-feed", 200, MakeRows(absl::StrJoin(rows, ","), 12));
+  const auto [changes, error] = Watch();
+  ASSERT_TRUE(changes.has_value());
+  EXPECT_TRUE(changes->truncated);
+}
+
 TEST_F(PlatformAdapterTest, Watch_HistoryDiscarded_ReportsNotFound) {
   Respond("/rows-feed", 410, "");
   EXPECT_EQ(Watch().second.code, ErrorCode::kNotFound);
--- a/tests/pool_fleet.h
+++ b/tests/pool_fleet.h
@@ -149,6 +149,10 @@
     PutRunner(name, "ready");
   }
   void PutRunner(const std::string& name, const std::string& state) {
+    absl::Time& leaving_since = runners[name]->leaving_since;
+    leaving_since = state == "draining"
+                        ? std::min(leaving_since, clock.Monotonic())
+                        : absl::InfiniteFuture();
     rows.Put(absl::StrCat("servers/", name),
              absl::StrCat(domain_of_runner_[name], ",", state, ",",
                           runners[name]->incarnation));
@@ -218,6 +222,16 @@
   }
 
   Daemon& daemon(const std::string& name) { return daemons_[name]; }
+  // The daemon that the row of the pool names.
+  std::string OwnerOf(const std::string& pool) {
+    const std::string& row = rows.rows[absl::StrCat("pools/", pool)].value;
+    for (const auto& [name, daemon] : daemons_) {
+      if (row.find(name) != std::string::npos) {
+        return name;
+      }
+    }
+    return "";
+  }
   std::vector<std::string> Names() const {
     std::vector<std::string> names;
     for (const auto& [name, daemon] : daemons_) {
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -355,6 +355,21 @@
   }
 }
 
+// Guards against an owner that falls behind the changes of the store, since it
+// waits between full answers, and starts tasks on leaving runners.
+TEST(PoolFleetLoadTest, Runner_LeavesAmongManyChanges_GetsNoLateTasks) {
+  PoolFleet fleet(1, 1, 6);
+  fleet.rows.rows_per_answer = 24;
+  for (int i = 0; i < 60; ++i) {
+    for (const auto& it : fleet.RunnerNames()) {
+      fleet.PutRunner(it, it == "d1r0" && i > 20 ? "draining" : "ready");
+    }
+    fleet.Submit("d1n0", 2);
+    fleet.loop.RunFor(absl::Milliseconds(100));
+  }
+  EXPECT_THAT(fleet.log.starts_on_leaving, IsEmpty());
+}
+
 // Injects random faults, in sequence and overlapping; checks the invariants
 // throughout and that jobs complete afterwards.
 class PoolFleetFaultTest : public testing::TestWithParam<uint64_t> {
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -63,6 +63,7 @@
   std::map<std::string, int> starts;  // started runs, by job
   std::set<std::string> done;         // tasks with a run that succeeded
   std::vector<std::string> violations;
+  std::vector<std::string> starts_on_leaving;  // later than `kDrainLimit`
   std::vector<std::string> trace;
 
   void Note(const Clock& clock, const std::string& line) {
@@ -94,6 +95,9 @@
   }
 };
 
+// No task may start on a runner that announced this long ago that it leaves.
+inline constexpr absl::Duration kDrainLimit = absl::Seconds(2);
+
 // A runner that follows the platform's specification: leases on its own clock,
 // fencing tokens, numbered ends of runs and a limited number of runs at a time.
 class FakeRunner {
@@ -105,6 +109,7 @@
   size_t capacity = 2;
   bool failing = false;  // every run fails at once
   int64_t incarnation = 1;
+  absl::Time leaving_since = absl::InfiniteFuture();
 
   int64_t clock_ms() const {
     return absl::ToInt64Milliseconds(clock_.Monotonic() - started_) + 1000;
@@ -239,6 +244,12 @@
     highest_run_[task] = order.run;
     runs_[task] = std::move(run);
     ++log_.starts[order.job_key];
+    if (clock_.Monotonic() - leaving_since > kDrainLimit) {
+      log_.starts_on_leaving.push_back(absl::StrCat(
+          task, " on ", name_, " after ",
+          absl::ToInt64Milliseconds(clock_.Monotonic() - leaving_since),
+          " ms"));
+    }
     log_.Note(clock_, absl::StrCat(name_, " starts ", task, " run ", order.run,
                                    " fence ", order.fence, " lease ",
                                    lease_until_ms_ - clock_ms()));
@@ -477,14 +488,17 @@
   std::map<std::string, Row> rows;
   std::map<std::string, int64_t> deleted;  // version of the deletion
   int64_t version = 0;
+  size_t rows_per_answer = 500;  // of `Watch`
 
   void Put(const std::string& key, const std::string& value) {
     rows[key] = {key, value, ++version};
+    log_[version] = rows[key];
     deleted.erase(key);
   }
   void Remove(const std::string& key) {
     if (rows.erase(key) > 0) {
       deleted[key] = ++version;
+      log_[version] = {key, "", 0};
     }
   }
   Store::Changes Select(const std::string& prefix, int64_t after) const {
@@ -502,6 +516,27 @@
     }
     return changes;
   }
+  // As many of the changes after a version as one answer holds.
+  Store::Changes SelectChanges(const std::string& prefix, int64_t after) const {
+    Store::Changes changes;
+    changes.next = version;
+    for (auto it = log_.upper_bound(after); it != log_.end(); ++it) {
+      if (!it->second.key.starts_with(prefix)) {
+        continue;
+      }
+      if (changes.rows.size() == rows_per_answer) {
+        changes.truncated = true;
+        break;
+      }
+      changes.rows.push_back(it->second);
+      changes.next = it->first;
+    }
+    changes.next = changes.truncated ? changes.next : version;
+    return changes;
+  }
+
+ private:
+  std::map<int64_t, Row> log_;  // all changes, by version
 };
 
 // A daemon's access to the platform's rows, with fault injection.
@@ -592,7 +627,7 @@
         callback(std::nullopt, Unavailable());
         return;
       }
-      Changes changes = rows_.Select(prefix, version);
+      Changes changes = rows_.SelectChanges(prefix, version);
       if (!changes.rows.empty() || wait <= absl::ZeroDuration()) {
         callback(std::move(changes), {});
         return;
