Notice lost watch calls of the configuration within two seconds

What callers saw: a request is handled as an older version of the configuration says (CONFIG). Cause: a watch call that the store never answers ends after its wait of 2 s and a margin of 1 s; then came a backoff of up to 1.2 s. A daemon could ask again 3.0 to 4.2 s after the store answers again, when it has to obey. Its peers tell it earlier, unless they lost their calls at the same moment: all call at once after an outage that begins or ends for all.

Change: the call for the configuration waits 1 s, and the backoff counts from the beginning of a call, so that a call that timed out is repeated at once. Together 2 s and one answer.

--- a/include/radishrail/pool_node.h
+++ b/include/radishrail/pool_node.h
@@ -43,10 +43,10 @@
   LeaseSettings lease;
   // Longest time that one watch call waits for a change in the store. A call
   // that is lost in an unresponsive store or connection is noticed only when it
-  // times out, and draining runners and new configurations must be noticed
-  // within 2 s.
+  // times out, a second after its wait, and must have been repeated 3 s after
+  // the store answers again.
   absl::Duration runner_watch_wait = absl::Milliseconds(500);
-  absl::Duration document_watch_wait = absl::Seconds(2);
+  absl::Duration document_watch_wait = absl::Seconds(1);
   // Time until the balancer has noticed that the daemon is not ready.
   absl::Duration drain_balancer_delay = absl::Seconds(2);
   absl::Duration drain_timeout = absl::Seconds(2);
--- a/include/radishrail/store_watcher.h
+++ b/include/radishrail/store_watcher.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "radishrail/clock.h"
 #include "radishrail/executor.h"
 #include "radishrail/random.h"
 #include "radishrail/store.h"
@@ -28,6 +29,7 @@
 
   StoreWatcher(std::string prefix,
                absl::Duration wait,
+               const Clock& clock,
                Store& store,
                Executor& executor,
                Random& random,
@@ -57,6 +59,7 @@
 
   const std::string prefix_;
   const absl::Duration wait_;
+  const Clock& clock_;
   Store& store_;
   Executor& executor_;
   Random& random_;
@@ -69,6 +72,7 @@
   bool following_ = true;
   absl::Duration interval_ = absl::ZeroDuration();
   uint64_t step_ = 0;  // number of the latest call or timer
+  absl::Time called_at_ = absl::InfinitePast();  // time of the latest call
   // Expires with the watcher; the store may call back later.
   const std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
 };
--- a/src/store_watcher.cc
+++ b/src/store_watcher.cc
@@ -19,12 +19,14 @@
 
 StoreWatcher::StoreWatcher(std::string prefix,
                            absl::Duration wait,
+                           const Clock& clock,
                            Store& store,
                            Executor& executor,
                            Random& random,
                            RowsCallback on_rows)
     : prefix_(std::move(prefix)),
       wait_(wait),
+      clock_(clock),
       store_(store),
       executor_(executor),
       random_(random),
@@ -54,6 +56,7 @@
 }
 
 void StoreWatcher::TakeSnapshot() {
+  called_at_ = clock_.Monotonic();
   store_.Snapshot(
       prefix_, [this, is_latest = BeginStep()](
                    std::optional<Store::Changes> changes, const Error& error) {
@@ -106,6 +109,7 @@
 }
 
 void StoreWatcher::WatchChanges() {
+  called_at_ = clock_.Monotonic();
   store_.Watch(
       prefix_, version_, wait_,
       [this, is_latest = BeginStep()](std::optional<Store::Changes> changes,
@@ -153,9 +157,12 @@
     Log(LogLevel::kWarning, "store unreachable",
         {{"prefix", prefix_}, {"detail", error.ToString()}});
   }
-  const absl::Duration backoff = std::min(
-      kMaxBackoff, kMinBackoff * (1 << std::min(failures_++, kMaxDoublings)));
-  CallNextAfter(backoff * (0.5 + random_.Unit()));
+  const absl::Duration backoff =
+      std::min(kMaxBackoff,
+               kMinBackoff * (1 << std::min(failures_++, kMaxDoublings))) *
+      (0.5 + random_.Unit());
+  // Counts from the call, so that a call that timed out is repeated at once.
+  CallNextAfter(backoff - (clock_.Monotonic() - called_at_));
 }
 
 }  // namespace radishrail
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -411,6 +411,30 @@
   EXPECT_THAT(fleet.log.starts_on_leaving, IsEmpty());
 }
 
+// Guards against a configuration that is in force too late, since a call that
+// the store never answers is noticed late. Daemons have `kContactTime` after
+// the store answers again.
+TEST(PoolFleetSilenceTest, Configuration_StoreWasSilent_IsInForceInTime) {
+  constexpr absl::Duration kContactTime = absl::Seconds(3);
+  for (int ms = 2000; ms < 6000; ms += 100) {
+    SCOPED_TRACE(absl::StrCat("silent for ", ms, " ms"));
+    PoolFleet fleet(1, 1, 1);
+    fleet.loop.RunFor(absl::Seconds(3));
+    for (const auto& it : fleet.Names()) {
+      fleet.daemon(it).store->unresponsive = true;
+    }
+    fleet.loop.RunFor(absl::Milliseconds(ms));
+    for (const auto& it : fleet.Names()) {
+      fleet.daemon(it).store->unresponsive = false;
+    }
+    fleet.PutConfig(2, {"svc", "other"});
+    fleet.loop.RunFor(kContactTime);
+    for (const auto& it : fleet.Names()) {
+      EXPECT_NE(fleet.daemon(it).node->FindRoute("host", "/other/x"), nullptr);
+    }
+  }
+}
+
 // Injects random faults, in sequence and overlapping; checks the invariants
 // throughout and that jobs complete afterwards.
 class PoolFleetFaultTest : public testing::TestWithParam<uint64_t> {
