Address runners by name, not by address

What callers saw: jobs fail with "no retry budget left for the upstream after not_ready the runner is unknown or not usable" for up to 2 s after a runner restarted. Cause: a runner that restarts has a new name at its old address, and the row of its former instance stays for some seconds. LeasedUpstreamClient found runners by their address, so that an order to the new instance reached the state of the former one, which is not usable, and each attempt used up a retry.

Change: TaskStart names the upstream, and the client looks it up by name.

Start_FormerInstanceStillListed_ReportsDone failed before with "not started"; it passes now.

--- a/include/radishrail/upstream_client.h
+++ b/include/radishrail/upstream_client.h
@@ -17,6 +17,7 @@
   int attempt = 1;
   std::string kind;
   std::string payload;
+  std::string vm;       // name of the upstream
   std::string address;  // "ip:port" of the upstream
   // The client checks `start_by_monotonic` again right before it sends.
   absl::Time start_by_monotonic;
--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -409,6 +409,7 @@
     start.attempt = task.attempts;
     start.kind = spec.kind;
     start.payload = spec.payload.empty() ? job.spec.payload : spec.payload;
+    start.vm = upstream.info.vm;
     start.address = upstream.info.address;
     start.start_by_monotonic = job.start_by - kTransmissionMargin;
     start.start_by_wall = wall + (job.start_by - now);
--- a/src/leased_upstream_client.cc
+++ b/src/leased_upstream_client.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "absl/container/btree_map.h"
-#include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 #include "radishrail/log.h"
 #include "runner_contact.h"
@@ -168,8 +167,8 @@
 
   void SetRunners(const std::vector<OwnedRunner>& runners);
   bool Usable(const std::string& vm) const {
-    const auto it = runners_.find(vm);
-    return it != runners_.end() && it->second->usable;
+    const RunnerPointer runner = Find(vm);
+    return runner != nullptr && runner->usable;
   }
   void Start(TaskStart start, Callback callback);
   void StopRun(const std::string& job_key, const std::string& task_id, int run);
@@ -192,18 +191,13 @@
     absl::Duration wait;
   };
 
-  RunnerPointer FindByAddress(const std::string& address) const {
-    const auto it = vm_of_address_.find(address);
-    if (it == vm_of_address_.end()) {
-      return nullptr;
-    }
-    const auto runner = runners_.find(it->second);
-    return runner == runners_.end() ? nullptr : runner->second;
+  RunnerPointer Find(const std::string& vm) const {
+    const auto it = runners_.find(vm);
+    return it == runners_.end() ? nullptr : it->second;
   }
   // False if a late callback refers to a runner that was removed or replaced.
   bool IsCurrent(const RunnerPointer& runner) const {
-    const auto it = runners_.find(runner->info.vm);
-    return it != runners_.end() && it->second == runner;
+    return Find(runner->info.vm) == runner;
   }
 
   absl::Time Now() const { return clock_.Monotonic(); }
@@ -286,7 +280,6 @@
   Counter& stops_;
   // Ordered, so that tests with a fixed seed are deterministic.
   absl::btree_map<std::string, RunnerPointer> runners_;
-  absl::flat_hash_map<std::string, std::string> vm_of_address_;
   internal::OrderLossRate loss_rate_;
 };
 
@@ -294,7 +287,6 @@
     const std::vector<OwnedRunner>& runners) {
   absl::btree_map<std::string, RunnerPointer> former;
   former.swap(runners_);
-  vm_of_address_.clear();
   for (const auto& it : runners) {
     RunnerPointer runner;
     const auto existing = former.find(it.info.vm);
@@ -316,7 +308,6 @@
       runner->fence = it.fence;
     }
     runner->info = it.info;
-    vm_of_address_[it.info.address] = it.info.vm;
     runners_[it.info.vm] = std::move(runner);
   }
   for (auto& [vm, runner] : former) {
@@ -362,7 +353,7 @@
 }
 
 void LeasedUpstreamClient::Impl::Start(TaskStart start, Callback callback) {
-  const RunnerPointer runner = FindByAddress(start.address);
+  const RunnerPointer runner = Find(start.vm);
   if (runner == nullptr || !runner->usable) {
     callback(MakeResult(TaskOutcome::kNotStarted, ErrorCode::kNotReady,
                         "the runner is unknown or not usable"));
--- a/tests/leased_upstream_client_test.cc
+++ b/tests/leased_upstream_client_test.cc
@@ -21,12 +21,16 @@
     Run(absl::Milliseconds(10));
   }
 
-  void SetFence(uint64_t fence) {
+  static VmInfo MakeInfo(const std::string& vm) {
     VmInfo info;
-    info.vm = "r1";
+    info.vm = vm;
     info.address = "r1:1";
     info.failure_domain = "d1";
-    client_.SetRunners({{info, fence}});
+    return info;
+  }
+
+  void SetFence(uint64_t fence) {
+    client_.SetRunners({{MakeInfo("r1"), fence}});
   }
 
   // Ticks the client at least every millisecond of virtual time.
@@ -38,11 +42,14 @@
     }
   }
 
-  void Start(const std::string& task, int attempt = 1) {
+  void Start(const std::string& task,
+             int attempt = 1,
+             const std::string& vm = "r1") {
     TaskStart start;
     start.job_key = "job";
     start.task_id = task;
     start.attempt = attempt;
+    start.vm = vm;
     start.address = "r1:1";
     start.start_by_monotonic = clock_.Monotonic() + absl::Seconds(5);
     start.expected_run = absl::Milliseconds(100);
@@ -90,6 +97,18 @@
   EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kDone)));
 }
 
+// Guards against orders to a runner that are taken for orders to its former
+// instance at the same address, which stays listed for some seconds.
+TEST_F(LeasedUpstreamClientTest, Start_FormerInstanceStillListed_ReportsDone) {
+  FakeRunner successor{loop_, clock_, log_, "r0"};
+  transport_.runners["r1:1"] = &successor;
+  client_.SetRunners({{MakeInfo("r0"), kFence}, {MakeInfo("r1"), kFence}});
+  Run(absl::Milliseconds(500));
+  Start("0.0.0", 1, "r0");
+  Run(absl::Milliseconds(500));
+  EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kDone)));
+}
+
 // Guards against polling runners that have no runs.
 TEST_F(LeasedUpstreamClientTest, Runner_Idle_IsNotPolled) {
   Start("0.0.0");
