Count runs past the deadline of their job until they end

What callers saw: nothing; runners that do not guard their capacity got more tasks than fit (LIMIT), others refused the starts. Cause: at the deadline of a job the job table freed the slots of its runs and stopped them in the same moment, so that other tasks started while the stopped runs still worked.

Change: the slots stay occupied until the result of the run arrives, which each UpstreamClient delivers exactly once.

TaskFailure_DropsQueuedAndAwaitsRunning expected the freed slot; it now expects the slot to be occupied until the result and free afterwards, and fails on the old code. The simulation of the job table left starts without any result, which no client does; it now reports them as unknown at their timeout, and checks that no upstream has more unanswered starts than slots.

--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -473,12 +473,16 @@
   }
 
   // A late or duplicate result changes no task, but a notice in it that the
-  // upstream is leaving is still valid.
+  // upstream is leaving is still valid, and a run past the deadline of its job
+  // has ended.
   void DropResult(const Job* job,
                   TaskRef ref,
                   UpstreamId upstream,
                   const TaskResult& result) {
     metrics_.dropped_results.Add();
+    if (runs_past_deadline_.erase({ref.job, ref.task}) > 0) {
+      scheduler_.Finish(ref, std::nullopt);
+    }
     const std::optional<UpstreamView> view = upstreams_.Find(upstream);
     if (view.has_value() &&
         (result.upstream_leaving ||
@@ -790,7 +794,7 @@
         result.run_time = now - task.started;
         upstreams_.OnResult(task.upstream, result,
                             run_times_.Expected(task.kind));
-        scheduler_.Finish({job.number, i}, std::nullopt);
+        runs_past_deadline_.insert({job.number, i});
         task.status = TaskStatus::kUnknown;
         task.error = WithContext(job, {job.number, i}, result.error,
                                  ErrorCode::kDeadlineExceeded);
@@ -836,6 +840,9 @@
   internal::KeyTable keys_;
   absl::flat_hash_map<uint64_t, std::unique_ptr<Job>> jobs_;
   absl::btree_set<std::pair<absl::Time, uint64_t>> deadlines_;
+  // Job and task of each run whose job ended at its deadline. The run occupies
+  // its slots until its result arrives.
+  absl::flat_hash_set<std::pair<uint64_t, uint32_t>> runs_past_deadline_;
   internal::RetryBudgets retry_budgets_;
   internal::RunTimeModel run_times_;
   std::deque<Delivery> deliveries_;
--- a/tests/job_controller_test.cc
+++ b/tests/job_controller_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 
 #include "fakes.h"
@@ -300,6 +301,8 @@
   EXPECT_EQ(tasks[2].status, TaskStatus::kDone);
   EXPECT_EQ(tasks[15].status, TaskStatus::kUnknown);
   EXPECT_EQ(tasks[17].status, TaskStatus::kNotRun);
+  EXPECT_EQ(scheduler_.running_tasks(), 1u) << "the last run has not ended";
+  Respond(15, Outcome(TaskOutcome::kUnknown));
   EXPECT_EQ(scheduler_.running_tasks(), 0u);
   EXPECT_EQ(scheduler_.invalid_releases, 0);
 }
@@ -529,7 +532,7 @@
 class JobTableSimulation {
  public:
   explicit JobTableSimulation(uint64_t seed) : random_(seed) {
-    upstreams_.OnVmList(TestVms(3, 4));
+    upstreams_.OnVmList(TestVms(kUpstreams, kSlots));
     client_.on_start = [this](const TaskStart& it) { OnStart(it); };
   }
 
@@ -539,6 +542,7 @@
       Step();
     }
     for (int i = 0; i < 8 && violation_.empty(); ++i) {
+      ExpireStarts();
       Advance(absl::Seconds(100));
     }
     CheckAtEnd();
@@ -592,6 +596,7 @@
         Respond();
         break;
     }
+    ExpireStarts();
     if (random_.Below(2) == 0) {
       jobs_.Tick();
     }
@@ -656,23 +661,38 @@
   }
 
   // Calls back for one of the last 12 starts, which may be late or a duplicate.
-  // Some starts never get a callback.
   void Respond() {
     if (client_.calls.empty()) {
       return;
     }
     const size_t recent = std::min<size_t>(client_.calls.size(), 12);
     const size_t index = client_.calls.size() - 1 - random_.Below(recent);
-    const auto call = client_.calls[index];
     static constexpr TaskOutcome kOutcomes[] = {
         TaskOutcome::kNotStarted, TaskOutcome::kNotStarted,
         TaskOutcome::kFailed, TaskOutcome::kUnknown};
-    TaskResult result;
-    // A client reports one outcome for a start, however often it calls back.
     const uint64_t n = random_.Below(24);
-    result.outcome =
-        outcomes_.emplace(index, n < 4 ? kOutcomes[n] : TaskOutcome::kDone)
-            .first->second;
+    RespondTo(index, n < 4 ? kOutcomes[n] : TaskOutcome::kDone);
+  }
+
+  // A client reports an unknown outcome at the latest when a start times out.
+  void ExpireStarts() {
+    const absl::Time now = clock_.Monotonic();
+    const std::set<size_t> starts = unanswered_;
+    for (const size_t it : starts) {
+      if (started_[it] + client_.calls[it].start.timeout <= now) {
+        RespondTo(it, TaskOutcome::kUnknown);
+      }
+    }
+  }
+
+  // A client reports one outcome for a start, however often it calls back.
+  void RespondTo(size_t index, TaskOutcome outcome) {
+    const auto call = client_.calls[index];
+    if (unanswered_.erase(index) > 0) {
+      --runs_at_[call.start.address];
+    }
+    TaskResult result;
+    result.outcome = outcomes_.emplace(index, outcome).first->second;
     result.output = call.start.payload;
     result.run_time = absl::Milliseconds(1 + random_.Below(100));
     Trace("respond to start " + std::to_string(index) + " with " +
@@ -696,6 +716,9 @@
     Check(history.may_start || forgotten, "task dispatched again");
     Check(now < start.start_by_monotonic, "task dispatched too late");
     history = {now, false, start.attempt};
+    unanswered_.insert(started_.size());
+    Check(++runs_at_[start.address] <= kSlots,
+          "more runs than slots, also of jobs past their deadline");
     started_.push_back(now);
     last_start_[start.payload] = now;
   }
@@ -753,7 +776,10 @@
 
   FakeClock clock_;
   SeededRandom random_;
-  FakeScheduler scheduler_{clock_, 3, 4};
+  static constexpr int kUpstreams = 3;
+  static constexpr int kSlots = 4;
+
+  FakeScheduler scheduler_{clock_, kUpstreams, kSlots};
   UpstreamRegistry upstreams_{UpstreamSettings{"fd-a"}, clock_};
   FakeUpstreamClient client_;
   Metrics metrics_;
@@ -765,6 +791,8 @@
   std::map<std::string, absl::Time> last_start_;  // by payload
   std::vector<absl::Time> started_;
   std::map<size_t, TaskOutcome> outcomes_;
+  std::set<size_t> unanswered_;         // starts
+  std::map<std::string, int> runs_at_;  // unanswered starts, by address
   std::map<JobStatus, int> statuses_;
   std::string trace_;
   std::string violation_;
