Use a restarted runner after the runs of before its new row

Cause: a runner restarts under its name, and tasks start on it before its new row arrives. The row has a new incarnation, which the registry takes for an empty upstream, although those runs are still there.

Change: the client reports a runner as usable only when the runs from before its new row have ended.

Runner_RestartNoticedLate_IsUsedAfterItsRuns failed before.

--- a/src/leased_upstream_client.cc
+++ b/src/leased_upstream_client.cc
@@ -98,6 +98,9 @@
   bool usable = false;  // reachable, and all its active runs are tracked here
   internal::RunnerContact contact;
   bool replaced = false;  // another instance answers at the address
+  // When the list of runners named another incarnation. Runs from before may
+  // already execute in it.
+  absl::Time incarnation_changed = absl::InfinitePast();
   // The runner's clock showed `clock_ms` at `clock_received` or a little
   // earlier.
   int64_t clock_ms = 0;
@@ -123,6 +126,13 @@
       [phase](const auto& it) { return it.second.phase == phase; });
 }
 
+bool HasRunFromBeforeChange(const Runner& runner) {
+  return std::any_of(runner.runs.begin(), runner.runs.end(),
+                     [&runner](const auto& it) {
+                       return it.second.started <= runner.incarnation_changed;
+                     });
+}
+
 // True if a list of the runner would say something about one of its runs.
 bool HasAnsweredRun(const Runner& runner) {
   return std::any_of(
@@ -168,7 +178,8 @@
   void SetRunners(const std::vector<OwnedRunner>& runners);
   bool Usable(const std::string& vm) const {
     const RunnerPointer runner = Find(vm);
-    return runner != nullptr && runner->usable;
+    return runner != nullptr && runner->usable &&
+           !HasRunFromBeforeChange(*runner);
   }
   void Start(TaskStart start, Callback callback);
   void StopRun(const std::string& job_key, const std::string& task_id, int run);
@@ -300,6 +311,7 @@
       // runner's lists show which ones were lost. Its clock has started anew: a
       // lease by the former clock would not limit a late start.
       if (it.info.incarnation != runner->info.incarnation) {
+        runner->incarnation_changed = Now();
         SetUsable(runner, false);
         runner->next_hold = absl::InfinitePast();
       }
@@ -779,7 +791,11 @@
   }
   const Callback callback = std::move(it->second.callback);
   result.run_time = Now() - it->second.started;
+  const bool was_from_before = HasRunFromBeforeChange(*runner);
   runner->runs.erase(it);
+  if (was_from_before && !HasRunFromBeforeChange(*runner)) {
+    on_usable_changed_();
+  }
   callback(std::move(result));
 }
 
--- a/tests/leased_upstream_client_test.cc
+++ b/tests/leased_upstream_client_test.cc
@@ -109,6 +109,24 @@
   EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kDone)));
 }
 
+// Guards against a restarted runner that counts as empty when its new row
+// arrives, although it executes runs that were started in the meantime.
+TEST_F(LeasedUpstreamClientTest, Runner_RestartNoticedLate_IsUsedAfterItsRuns) {
+  runner_.run_time = absl::Seconds(2);
+  Start("0.0.0");
+  Run(absl::Milliseconds(100));
+  VmInfo restarted = MakeInfo("r1");
+  restarted.incarnation = 2;
+  client_.SetRunners({{restarted, kFence}});
+  Run(absl::Milliseconds(500));
+  EXPECT_FALSE(client_.Usable("r1"));
+  const int changes = usable_changes_;
+  Run(absl::Seconds(2));
+  EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kDone)));
+  EXPECT_TRUE(client_.Usable("r1"));
+  EXPECT_GT(usable_changes_, changes);
+}
+
 // Guards against polling runners that have no runs.
 TEST_F(LeasedUpstreamClientTest, Runner_Idle_IsNotPolled) {
   Start("0.0.0");
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -568,6 +568,39 @@
       << fleet.TraceOfIncomplete();
 }
 
+// Guards against tasks that start on a runner that does not guard its capacity
+// while runs that are being stopped, or that were started before the capacity
+// shrank, still occupy it.
+TEST_P(PoolFleetFaultTest, Runners_CapacityChanges_IsNotExceeded) {
+  SCOPED_TRACE(absl::StrCat("seed ", GetParam()));
+  constexpr size_t kMaxCapacity = 5;
+  PoolFleet fleet(GetParam(), 2, 3);
+  for (auto& [name, runner] : fleet.runners) {
+    runner->guards_capacity = false;
+  }
+  fleet.loop.RunFor(absl::Seconds(2));
+  const auto names = fleet.Names();
+  const auto runners = fleet.RunnerNames();
+  for (int i = 0; i < 200; ++i) {
+    fleet.Submit(names[fleet.random().Below(names.size())],
+                 1 + static_cast<int>(fleet.random().Below(6)));
+    for (auto& [name, runner] : fleet.runners) {
+      runner->run_time = absl::Milliseconds(20 + fleet.random().Below(900));
+    }
+    fleet.loop.RunFor(absl::Milliseconds(fleet.random().Below(300)));
+    if (fleet.random().Below(20) == 0) {
+      fleet.SetCapacity(runners[fleet.random().Below(runners.size())],
+                        fleet.random().Below(kMaxCapacity));
+    }
+    if (fleet.random().Below(6) == 0) {
+      Fault(fleet);
+    }
+  }
+  EXPECT_THAT(fleet.log.starts_over_capacity, IsEmpty())
+      << fleet.log.TraceOf("faults");
+  EXPECT_THAT(fleet.log.violations, IsEmpty());
+}
+
 // Seed 7267: a late order started a run on a restarted runner, under a lease by
 // the clock of the runner's former incarnation.
 INSTANTIATE_TEST_SUITE_P(FormerViolations,
