Give up jobs whose tasks crash the runners that start them

Cause: a run that ended with its runner was started elsewhere up to 20 times, and a job that was submitted again began anew. Nothing counted the runners that crashed under a task.

Change: CrashTable records which upstreams were silent until the lease of a run had expired, which of them crashed (a new incarnation, or another instance at the address) and which are alive. After two crashes under one task the job ends as failed, which is final. A crash is certain only when the runner is back, so a job whose task was lost with three upstreams that are silent ends with an unknown outcome until they answer. Owners share tasks under which more than one upstream was lost in their status messages, so that a job that is submitted again elsewhere is given up there too. A runner that leaves, and one that was only silent, do not count as crashed.

A job that happens to run beside such a task twice is given up with it.

--- a/include/radishrail/leased_upstream_client.h
+++ b/include/radishrail/leased_upstream_client.h
@@ -10,6 +10,7 @@
 #include "absl/time/time.h"
 #include "radishrail/clock.h"
 #include "radishrail/metrics.h"
+#include "radishrail/run_fate.h"
 #include "radishrail/runner_transport.h"
 #include "radishrail/store.h"
 #include "radishrail/upstream_client.h"
@@ -38,13 +39,14 @@
  public:
   // `on_fenced` runs when a runner rejects an order because it has seen a
   // higher fencing token; `on_usable_changed` runs when `Usable` changes for a
-  // runner.
+  // runner; `on_fate` runs for each run whose runner became silent or crashed.
   LeasedUpstreamClient(const Clock& clock,
                        RunnerTransport& transport,
                        const LeaseSettings& settings,
                        Metrics& metrics,
                        std::function<void(const std::string& pool)> on_fenced,
-                       std::function<void()> on_usable_changed);
+                       std::function<void()> on_usable_changed,
+                       std::function<void(const RunFate& fate)> on_fate);
   ~LeasedUpstreamClient() override;
 
   // A runner of a pool that this daemon owns, with the pool's fencing token.
--- a/include/radishrail/peer_message.h
+++ b/include/radishrail/peer_message.h
@@ -245,6 +245,14 @@
                  backlog_ms);
 };
 
+struct PoolRunFate {
+  std::string job_key;
+  std::string task_id;
+  std::string vm;
+  uint32_t fate = 0;  // UpstreamFate
+  MSGPACK_DEFINE(job_key, task_id, vm, fate);
+};
+
 // Sent several times per second: shows that the sender is alive, which pools it
 // owns and which configuration version it has.
 struct PoolStatus {
@@ -254,7 +262,9 @@
   // The sender no longer waits for answers to its job requests with lower
   // numbers, which the receiver cancels.
   uint64_t oldest_request = 0;
-  MSGPACK_DEFINE(claims, document_version, sent_us, oldest_request);
+  // Tasks under which more than one upstream was lost a moment ago.
+  std::vector<PoolRunFate> run_fates;
+  MSGPACK_DEFINE(claims, document_version, sent_us, oldest_request, run_fates);
 };
 
 // Identical tasks of a job.
--- a/include/radishrail/pool_dispatcher.h
+++ b/include/radishrail/pool_dispatcher.h
@@ -9,6 +9,7 @@
 
 #include "absl/time/time.h"
 #include "radishrail/clock.h"
+#include "radishrail/crash_table.h"
 #include "radishrail/job_controller.h"
 #include "radishrail/leased_upstream_client.h"
 #include "radishrail/metrics.h"
@@ -51,6 +52,13 @@
   SchedulerLoad load() const { return scheduler_->load(); }
   size_t jobs_in_progress() const { return jobs_.jobs_in_progress(); }
 
+  // Upstreams lost under tasks, to be sent to peers and received from them.
+  std::vector<RunFate> SharedFates() { return crashes_.Shared(); }
+  void OnPeerFate(const RunFate& fate) {
+    crashes_.RecordOfPeer(fate);
+    affected_jobs_.push_back(fate.job_key);
+  }
+
  private:
   // Forwards to `client_` and places queued tasks as soon as a task ends.
   class PlacingUpstreamClient : public UpstreamClient {
@@ -69,10 +77,17 @@
   void ApplyChanges();
   void UpdateList();
   void PlaceTasks();
+  void OnFate(const RunFate& fate);
+  // Ends jobs that may no longer run.
+  void EndAffectedJobs();
 
   const Clock& clock_;
   std::unique_ptr<Scheduler> scheduler_;
   UpstreamRegistry registry_;
+  CrashTable crashes_;
+  // Keys of jobs whose verdict may have changed.
+  std::vector<std::string> affected_jobs_;
+  Counter& given_up_;
   LeasedUpstreamClient client_;
   PlacingUpstreamClient placing_upstream_client_;
   JobController jobs_;
--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -53,6 +53,19 @@
           "the key was used for another request"};
 }
 
+std::string CancelDetail(ErrorCode reason) {
+  switch (reason) {
+    case ErrorCode::kCancelled:
+      return "the caller cancelled the job";
+    case ErrorCode::kUpstreamFailed:
+      return "upstreams crashed under a task of the job";
+    case ErrorCode::kOutcomeUnknown:
+      return "upstreams that executed a task of the job do not answer";
+    default:
+      return "the caller disconnected or its entry daemon is unavailable";
+  }
+}
+
 bool IsFinal(JobStatus status) {
   return status != JobStatus::kRunning;
 }
@@ -146,11 +159,7 @@
       metrics_.cancelled.Add();
       RecordEvent(EventType::kJobCancelled, job->spec.key);
       job->cancelled = true;
-      job->error = {reason, Step::kQueue, "",
-                    reason == ErrorCode::kCancelled
-                        ? "the caller cancelled the job"
-                        : "the caller disconnected or its entry daemon "
-                          "is unavailable"};
+      job->error = {reason, Step::kQueue, "", CancelDetail(reason)};
       DropQueued(*job);
       StopRunning(*job);
       EndIfFinished(*job);
--- a/src/leased_upstream_client.cc
+++ b/src/leased_upstream_client.cc
@@ -114,6 +114,8 @@
   absl::Time next_hold = absl::InfinitePast();
   absl::Duration hold_retry_interval = kHoldRetryInterval;
   std::map<RunKey, Run> runs;
+  // Runs that ended with their lease while the runner did not answer.
+  std::vector<RunKey> lost_runs;
   // Runs that the runner lists as active but this daemon does not track:
   // started by a former owner or already reported as ended. The value is the
   // time of the next stop order.
@@ -158,12 +160,14 @@
        const LeaseSettings& settings,
        Metrics& metrics,
        std::function<void(const std::string& pool)> on_fenced,
-       std::function<void()> on_usable_changed)
+       std::function<void()> on_usable_changed,
+       std::function<void(const RunFate& fate)> on_fate)
       : clock_(clock),
         transport_(transport),
         settings_(settings),
         on_fenced_(std::move(on_fenced)),
         on_usable_changed_(std::move(on_usable_changed)),
+        on_fate_(std::move(on_fate)),
         starts_(metrics.counter("radishrail_runner_starts_total",
                                 "Orders to start a task")),
         rejected_(metrics.counter("radishrail_runner_starts_rejected_total",
@@ -261,6 +265,11 @@
                        const HoldReply& reply);
   void OnRunEnded(const RunnerPointer& runner, const EndedRun& ended);
   void OnOtherInstance(const RunnerPointer& runner);
+  void ReportFate(const Runner& runner, const RunKey& key, UpstreamFate fate);
+  // Reports the runs that were lost while the runner was silent.
+  void ReportLostRuns(Runner& runner, UpstreamFate fate);
+  // Reports all runs of an instance that has ended.
+  void ReportCrash(Runner& runner);
   void FinishAll(const RunnerPointer& runner,
                  TaskOutcome outcome,
                  ErrorCode code,
@@ -284,6 +293,7 @@
   const LeaseSettings settings_;
   const std::function<void(const std::string& pool)> on_fenced_;
   const std::function<void()> on_usable_changed_;
+  const std::function<void(const RunFate& fate)> on_fate_;
   Counter& starts_;
   Counter& rejected_;
   Counter& lost_;
@@ -298,6 +308,18 @@
     const std::vector<OwnedRunner>& runners) {
   absl::btree_map<std::string, RunnerPointer> former;
   former.swap(runners_);
+  std::map<std::string, std::string> new_vm_at;  // by address
+  for (const auto& it : runners) {
+    if (!former.contains(it.info.vm)) {
+      new_vm_at[it.info.address] = it.info.vm;
+    }
+  }
+  // The instance that had the address before has ended.
+  for (auto& [vm, runner] : former) {
+    if (new_vm_at.contains(runner->info.address)) {
+      ReportCrash(*runner);
+    }
+  }
   for (const auto& it : runners) {
     RunnerPointer runner;
     const auto existing = former.find(it.info.vm);
@@ -689,10 +711,14 @@
                                                  const HoldReply& reply) {
   // The numbers of ended runs restart with each incarnation. Runs of the former
   // incarnation are missing from the lists.
+  const bool restarted =
+      runner->incarnation != 0 && reply.incarnation != runner->incarnation;
   if (reply.incarnation != runner->incarnation) {
     runner->last_seen = 0;
     runner->acknowledged = 0;
   }
+  ReportLostRuns(*runner,
+                 restarted ? UpstreamFate::kCrashed : UpstreamFate::kAlive);
   if (reply.incarnation != 0) {
     runner->incarnation = reply.incarnation;
   }
@@ -724,6 +750,9 @@
     }
   }
   for (const auto& it : missing) {
+    if (restarted) {
+      ReportFate(*runner, it, UpstreamFate::kCrashed);
+    }
     Finish(runner, it,
            MakeResult(TaskOutcome::kEnded, ErrorCode::kUnreachable,
                       "the runner has no record of the run"));
@@ -768,10 +797,34 @@
 void LeasedUpstreamClient::Impl::OnOtherInstance(const RunnerPointer& runner) {
   runner->replaced = true;
   SetUsable(runner, false);
+  ReportCrash(*runner);
   FinishAll(runner, TaskOutcome::kEnded, ErrorCode::kUnreachable,
             "another instance answers at the address of the runner");
 }
 
+// A runner that leaves ends its runs without a crash.
+void LeasedUpstreamClient::Impl::ReportFate(const Runner& runner,
+                                            const RunKey& key,
+                                            UpstreamFate fate) {
+  if (runner.info.state != VmState::kLeaving) {
+    on_fate_({key.job_key, key.task_id, runner.info.vm, fate});
+  }
+}
+
+void LeasedUpstreamClient::Impl::ReportLostRuns(Runner& runner,
+                                                UpstreamFate fate) {
+  for (const auto& it : std::exchange(runner.lost_runs, {})) {
+    ReportFate(runner, it, fate);
+  }
+}
+
+void LeasedUpstreamClient::Impl::ReportCrash(Runner& runner) {
+  ReportLostRuns(runner, UpstreamFate::kCrashed);
+  for (const auto& [key, run] : runner.runs) {
+    ReportFate(runner, key, UpstreamFate::kCrashed);
+  }
+}
+
 void LeasedUpstreamClient::Impl::FinishAll(const RunnerPointer& runner,
                                            TaskOutcome outcome,
                                            ErrorCode code,
@@ -854,6 +907,8 @@
     }
   }
   for (const auto& it : expired) {
+    runner->lost_runs.push_back(it);
+    ReportFate(*runner, it, UpstreamFate::kSilent);
     Finish(runner, it,
            MakeResult(TaskOutcome::kEnded, ErrorCode::kUnreachable,
                       "the lease expired without an answer from the runner"));
@@ -892,13 +947,15 @@
     const LeaseSettings& settings,
     Metrics& metrics,
     std::function<void(const std::string& pool)> on_fenced,
-    std::function<void()> on_usable_changed)
+    std::function<void()> on_usable_changed,
+    std::function<void(const RunFate& fate)> on_fate)
     : impl_(std::make_unique<Impl>(clock,
                                    transport,
                                    settings,
                                    metrics,
                                    std::move(on_fenced),
-                                   std::move(on_usable_changed))) {}
+                                   std::move(on_usable_changed),
+                                   std::move(on_fate))) {}
 LeasedUpstreamClient::~LeasedUpstreamClient() = default;
 
 void LeasedUpstreamClient::SetRunners(const std::vector<OwnedRunner>& runners) {
--- a/src/peer_message.cc
+++ b/src/peer_message.cc
@@ -1,11 +1,13 @@
 #include "radishrail/peer_message.h"
 
+#include <algorithm>
 #include <array>
 #include <exception>
 #include <utility>
 
 #include "name_table.h"
 #include "radishrail/job.h"
+#include "radishrail/run_fate.h"
 
 namespace radishrail {
 
@@ -77,6 +79,13 @@
   if (const auto* forward = std::get_if<ForwardRequest>(&message)) {
     return forward->method <= ForwardMethod::kMaxValue;
   }
+  if (const auto* status = std::get_if<PoolStatus>(&message)) {
+    return std::all_of(status->run_fates.begin(), status->run_fates.end(),
+                       [](const PoolRunFate& it) {
+                         return it.fate <=
+                                static_cast<uint32_t>(UpstreamFate::kMaxValue);
+                       });
+  }
   if (const auto* reply = std::get_if<PoolJobReply>(&message)) {
     return reply->status <= static_cast<uint32_t>(JobStatus::kMaxValue) &&
            reply->error <= static_cast<uint32_t>(ErrorCode::kMaxValue);
--- a/src/pool_dispatcher.cc
+++ b/src/pool_dispatcher.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "radishrail/job_answers.h"
+
 namespace radishrail {
 
 namespace {
@@ -28,6 +30,22 @@
   return settings;
 }
 
+ErrorCode CodeOf(CrashVerdict verdict) {
+  return verdict == CrashVerdict::kGiveUp ? ErrorCode::kUpstreamFailed
+                                          : ErrorCode::kOutcomeUnknown;
+}
+
+// Runs of the job have been started before, so it is not refused as not run.
+JobAnswer GivenUpAnswer(const JobSpec& job, CrashVerdict verdict) {
+  JobAnswer answer = UnknownAnswer(
+      job, {CodeOf(verdict), Step::kExecution, "",
+            verdict == CrashVerdict::kGiveUp
+                ? "upstreams crashed under a task of the job before"
+                : "upstreams that executed a task of the job do not answer"});
+  answer.status = JobStatus::kFailed;
+  return answer;
+}
+
 }  // namespace
 
 void PoolDispatcher::PlacingUpstreamClient::Start(TaskStart start,
@@ -67,12 +85,18 @@
     : clock_(clock),
       scheduler_(std::move(scheduler)),
       registry_(MakeUpstreamSettings(failure_domain), clock),
-      client_(clock,
-              transport,
-              lease,
-              metrics,
-              std::move(on_fenced),
-              [this] { list_changed_ = true; }),
+      crashes_(clock),
+      given_up_(metrics.counter(
+          "radishrail_pool_jobs_given_up_total",
+          "Submissions of jobs under whose tasks runners were lost")),
+      client_(
+          clock,
+          transport,
+          lease,
+          metrics,
+          std::move(on_fenced),
+          [this] { list_changed_ = true; },
+          [this](const RunFate& fate) { OnFate(fate); }),
       placing_upstream_client_(*this),
       jobs_(clock,
             random,
@@ -93,6 +117,7 @@
 // A task that is placed on a runner that is no longer usable counts as a retry,
 // so a few of them would exhaust the retry budgets.
 void PoolDispatcher::PlaceTasks() {
+  EndAffectedJobs();
   if (list_changed_) {
     UpdateList();
   }
@@ -125,6 +150,12 @@
 void PoolDispatcher::Submit(JobSpec job,
                             std::shared_ptr<const VersionedDocument> document,
                             JobController::AnswerCallback callback) {
+  const CrashVerdict verdict = crashes_.Judge(job.key);
+  if (verdict != CrashVerdict::kRun) {
+    given_up_.Add();
+    callback(GivenUpAnswer(job, verdict));
+    return;
+  }
   jobs_.Accept(std::move(job), std::move(document), std::move(callback));
   PlaceTasks();
 }
@@ -133,9 +164,27 @@
   return jobs_.Cancel(key, reason);
 }
 
+// The jobs are ended later, since the client may be within a change of its
+// state.
+void PoolDispatcher::OnFate(const RunFate& fate) {
+  crashes_.Record(fate);
+  affected_jobs_.push_back(fate.job_key);
+}
+
+void PoolDispatcher::EndAffectedJobs() {
+  for (const auto& it : std::exchange(affected_jobs_, {})) {
+    const CrashVerdict verdict = crashes_.Judge(it);
+    if (verdict != CrashVerdict::kRun) {
+      jobs_.Cancel(it, CodeOf(verdict));
+    }
+  }
+}
+
 absl::Time PoolDispatcher::Tick() {
   last_tick_ = clock_.Monotonic();
   absl::Time due = client_.Tick();
+  crashes_.Tick();
+  EndAffectedJobs();
   registry_.Tick();
   if (list_changed_) {
     UpdateList();
--- a/tests/leased_upstream_client_test.cc
+++ b/tests/leased_upstream_client_test.cc
@@ -66,6 +66,7 @@
   Metrics metrics_;
   std::vector<std::string> fenced_;
   int usable_changes_ = 0;
+  std::vector<UpstreamFate> fates_;
   std::vector<std::pair<std::string, TaskOutcome>> results_;
   LeasedUpstreamClient client_{
       clock_,
@@ -73,7 +74,8 @@
       {},
       metrics_,
       [this](const std::string& pool) { fenced_.push_back(pool); },
-      [this] { ++usable_changes_; }};
+      [this] { ++usable_changes_; },
+      [this](const RunFate& fate) { fates_.push_back(fate.fate); }};
 };
 
 using testing::ElementsAre;
@@ -127,6 +129,55 @@
   EXPECT_GT(usable_changes_, changes);
 }
 
+// Guards against a crash under a run that is taken for a silence.
+TEST_F(LeasedUpstreamClientTest, Run_RunnerRestarts_ReportsCrash) {
+  runner_.run_time = absl::Seconds(2);
+  Start("0.0.0");
+  Run(absl::Milliseconds(100));
+  transport_.cut.insert("r1:1");
+  runner_.Crash();
+  Run(absl::Seconds(3));
+  EXPECT_THAT(fates_, ElementsAre(UpstreamFate::kSilent));
+  transport_.cut.clear();
+  Run(absl::Seconds(3));
+  EXPECT_THAT(fates_,
+              ElementsAre(UpstreamFate::kSilent, UpstreamFate::kCrashed));
+}
+
+// Guards against a crash that is not noticed, since the runner has a new name
+// when it is back.
+TEST_F(LeasedUpstreamClientTest, Run_RunnerReturnsUnderNewName_ReportsCrash) {
+  runner_.run_time = absl::Seconds(2);
+  Start("0.0.0");
+  Run(absl::Milliseconds(100));
+  client_.SetRunners({{MakeInfo("r0"), kFence}});
+  EXPECT_THAT(fates_, ElementsAre(UpstreamFate::kCrashed));
+}
+
+// Guards against a silence that is taken for a crash.
+TEST_F(LeasedUpstreamClientTest, Run_RunnerSilentForAWhile_ReportsNoCrash) {
+  runner_.run_time = absl::Seconds(9);
+  Start("0.0.0");
+  Run(absl::Milliseconds(100));
+  transport_.cut.insert("r1:1");
+  Run(absl::Seconds(3));
+  transport_.cut.clear();
+  Run(absl::Seconds(3));
+  EXPECT_THAT(fates_, ElementsAre(UpstreamFate::kSilent, UpstreamFate::kAlive));
+}
+
+// Guards against a runner that leaves being taken for one that crashed.
+TEST_F(LeasedUpstreamClientTest, Run_LeavingRunnerIsReplaced_ReportsNoCrash) {
+  runner_.run_time = absl::Seconds(2);
+  Start("0.0.0");
+  Run(absl::Milliseconds(100));
+  VmInfo leaving = MakeInfo("r1");
+  leaving.state = VmState::kLeaving;
+  client_.SetRunners({{leaving, kFence}});
+  client_.SetRunners({{MakeInfo("r0"), kFence}});
+  EXPECT_THAT(fates_, IsEmpty());
+}
+
 // Guards against polling runners that have no runs.
 TEST_F(LeasedUpstreamClientTest, Runner_Idle_IsNotPolled) {
   Start("0.0.0");
--- a/tests/pool_fleet.h
+++ b/tests/pool_fleet.h
@@ -146,8 +146,22 @@
   void AddRunner(const std::string& name, const std::string& domain) {
     runners[name] = std::make_unique<FakeRunner>(loop, clock, log, name);
     domain_of_runner_[name] = domain;
+    runners[name]->on_crash = [this, name] { RestartRunner(name); };
     PutRunner(name, "ready");
   }
+  // The process of the runner is down for some seconds.
+  void RestartRunner(const std::string& name) {
+    constexpr absl::Duration kRestartTime = absl::Seconds(3);
+    for (auto& [daemon, it] : daemons_) {
+      it.runners->refused.insert(name);
+    }
+    loop.PostDelayed(kRestartTime, [this, name] {
+      for (auto& [daemon, it] : daemons_) {
+        it.runners->refused.erase(name);
+      }
+      PutRunner(name, "ready");
+    });
+  }
   void PutRunner(const std::string& name, const std::string& state) {
     absl::Time& leaving_since = runners[name]->leaving_since;
     leaving_since = state == "draining"
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -435,6 +435,29 @@
   }
 }
 
+// Guards against a task that crashes one runner after another, also when its
+// client submits the job again elsewhere.
+TEST(PoolFleetCrashTest, Task_CrashesItsRunners_IsGivenUp) {
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    SCOPED_TRACE(absl::StrCat("seed ", seed));
+    PoolFleet fleet(seed, 2, 8);
+    fleet.log.crashing_jobs = {"job0", "job1"};
+    fleet.loop.RunFor(absl::Seconds(2));
+    fleet.Submit("d1n0", 1);
+    fleet.Submit("d2n1", 2);
+    const auto names = fleet.Names();
+    for (int i = 0; i < 100; ++i) {
+      fleet.Submit(names[static_cast<size_t>(i) % names.size()], 1);
+      fleet.loop.RunFor(absl::Milliseconds(200));
+    }
+    fleet.loop.RunFor(absl::Seconds(5));
+    for (const auto& [task, starts] : fleet.log.starts_after_three_crashes) {
+      EXPECT_LE(starts, 2) << task << "\n" << fleet.log.TraceOf("job0");
+    }
+    EXPECT_EQ(fleet.answers[JobStatus::kComplete], 100);
+  }
+}
+
 // Injects random faults, in sequence and overlapping; checks the invariants
 // throughout and that jobs complete afterwards.
 class PoolFleetFaultTest : public testing::TestWithParam<uint64_t> {
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -66,6 +66,9 @@
   std::vector<std::string> violations;
   std::vector<std::string> starts_on_leaving;  // later than `kDrainLimit`
   std::vector<std::string> starts_over_capacity;
+  std::set<std::string> crashing_jobs;  // their tasks crash the runners
+  std::map<std::string, int> crashes;   // by task
+  std::map<std::string, int> starts_after_three_crashes;  // by task
   // Since when all daemons can read the rows of runners; infinite: they cannot.
   absl::Time rows_readable_since = absl::InfinitePast();
   std::vector<std::string> trace;
@@ -120,6 +123,7 @@
   bool failing = false;                          // every run fails at once
   int64_t incarnation = 1;
   absl::Time leaving_since = absl::InfiniteFuture();
+  std::function<void()> on_crash = [] {};
 
   int64_t clock_ms() const {
     return absl::ToInt64Milliseconds(clock_.Monotonic() - started_) + 1000;
@@ -260,6 +264,13 @@
           absl::ToInt64Milliseconds(clock_.Monotonic() - leaving_since),
           " ms"));
     }
+    if (log_.crashes[task] >= 3) {
+      ++log_.starts_after_three_crashes[task];
+    }
+    if (log_.crashing_jobs.contains(order.job_key)) {
+      loop_.PostDelayed(absl::Milliseconds(5),
+                        [this, task, number] { CrashUnder(task, number); });
+    }
     const absl::Time noticeable =
         std::max(reduced_at, log_.rows_readable_since) + kCapacityNotice;
     if (runs_.size() > capacity && clock_.Monotonic() > noticeable) {
@@ -279,6 +290,16 @@
         });
   }
 
+  void CrashUnder(const std::string& task, uint64_t number) {
+    const auto it = runs_.find(task);
+    if (it != runs_.end() && it->second.number == number) {
+      ++log_.crashes[task];
+      log_.Note(clock_, absl::StrCat(name_, " crashes under ", task));
+      Crash();
+      on_crash();
+    }
+  }
+
   void Forget(const std::string& task) {
     --log_.active[task];
     runs_.erase(task);
