Send the status of an idle entry daemon in time for its jobs

What callers saw: a job that takes longer than 0.9 s ends as failed with an unknown outcome, without any fault. Cause: an entry daemon sends its status to an owner each second while it is idle and ten times a second while the owner runs its jobs, but the time of the next status was fixed when the last one was sent. A job submitted just after an idle status got no status for up to a second, and the owner cancels the jobs of an entry daemon that is silent for 0.9 s.

Change: the time since the last status decides, by the interval that holds now.

--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -88,7 +88,7 @@
   std::optional<absl::Duration> clock_difference;
   absl::Time last_contact = absl::InfinitePast();
   int64_t document_version = 0;
-  absl::Time status_due = absl::InfinitePast();
+  absl::Time status_sent_at = absl::InfinitePast();
   bool status_sent = false;  // a status was sent on the current connection
 };
 
@@ -381,13 +381,16 @@
     const bool owner = OwnsAnyPool();
     const std::set<std::string> owners = OwnerAddresses();
     for (auto& [address, peer] : peers_) {
-      if (peer.status_due > now) {
+      const absl::Duration age = now - peer.status_sent_at;
+      if (age < kStatusInterval) {
         continue;
       }
       const bool frequent = owner || router_.HasPendingAt(address);
+      if (!frequent && age < kIdleStatusInterval) {
+        continue;
+      }
       if (frequent || !peer.status_sent || owners.contains(address)) {
-        peer.status_due =
-            now + (frequent ? kStatusInterval : kIdleStatusInterval);
+        peer.status_sent_at = now;
         peer.status_sent = true;
         due.push_back(address);
       }
@@ -825,7 +828,7 @@
     FollowRunnerRows(OwnsAnyPool());
     ApplyRunners();
     for (auto& [address, peer] : peers_) {
-      peer.status_due = absl::InfinitePast();
+      peer.status_sent_at = absl::InfinitePast();
     }
   }
 
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -435,6 +435,25 @@
   }
 }
 
+// Guards against an owner that cancels a job since its entry daemon, which was
+// idle before, sends no status in time.
+TEST(PoolFleetStatusTest, LongJob_EntryDaemonWasIdle_Completes) {
+  for (int ms = 0; ms < 1000; ms += 20) {
+    SCOPED_TRACE(absl::StrCat("submitted ", ms, " ms later"));
+    PoolFleet fleet(1, 2, 2);
+    for (auto& [name, runner] : fleet.runners) {
+      runner->run_time = absl::Milliseconds(1800);
+    }
+    fleet.loop.RunFor(absl::Seconds(5) + absl::Milliseconds(ms));
+    for (const auto& it : fleet.Names()) {
+      fleet.Submit(it, 1);
+    }
+    fleet.loop.RunFor(absl::Seconds(6));
+    EXPECT_EQ(fleet.answers[JobStatus::kComplete], 4);
+    EXPECT_EQ(fleet.answers[JobStatus::kFailed], 0);
+  }
+}
+
 // Guards against a task that crashes one runner after another, also when its
 // client submits the job again elsewhere.
 TEST(PoolFleetCrashTest, Task_CrashesItsRunners_IsGivenUp) {
