Read the rows of runners again after a pause of the owner

What callers saw: nothing yet; tasks can start on a runner beyond the capacity it has had for seconds (LIMIT), or that has announced long ago that it leaves (DRAIN), for up to one poll interval after the owner was paused. Cause: after a pause the owner took an answer of the store from the time of the pause for the present state, and asked again 400 ms later.

--- a/include/radishrail/pool_dispatcher.h
+++ b/include/radishrail/pool_dispatcher.h
@@ -49,6 +49,8 @@
   // call: callers that disconnected and owners that changed during the pause
   // must be processed first.
   absl::Time Tick();
+  // True if the last call of `Tick` is too long ago.
+  bool paused() const;
   SchedulerLoad load() const { return scheduler_->load(); }
   size_t jobs_in_progress() const { return jobs_.jobs_in_progress(); }
 
--- a/include/radishrail/store_watcher.h
+++ b/include/radishrail/store_watcher.h
@@ -42,6 +42,8 @@
   void FollowChanges(absl::Duration interval);
   // Only takes a snapshot `interval` after each answer from now on.
   void TakeSnapshots(absl::Duration interval);
+  // Takes a snapshot at once and ignores the answer to a pending call.
+  void Refresh() { TakeSnapshot(); }
   // False from the first failed call until the next answer.
   bool store_reachable() const { return store_reachable_; }
 
--- a/src/pool_dispatcher.cc
+++ b/src/pool_dispatcher.cc
@@ -50,7 +50,7 @@
 
 void PoolDispatcher::PlacingUpstreamClient::Start(TaskStart start,
                                                   Callback callback) {
-  if (dispatcher_.clock_.Monotonic() - dispatcher_.last_tick_ > kMaxTickAge) {
+  if (dispatcher_.paused()) {
     TaskResult result;
     result.outcome = TaskOutcome::kNotStarted;
     result.error = {ErrorCode::kNotReady, Step::kHandOver, "",
@@ -180,6 +180,10 @@
   }
 }
 
+bool PoolDispatcher::paused() const {
+  return clock_.Monotonic() - last_tick_ > kMaxTickAge;
+}
+
 absl::Time PoolDispatcher::Tick() {
   last_tick_ = clock_.Monotonic();
   absl::Time due = client_.Tick();
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -42,8 +42,8 @@
 // runner within 2 s; other daemons read the rows only to learn of new pools.
 constexpr absl::Duration kOwnerPollInterval = absl::Milliseconds(400);
 constexpr absl::Duration kNonOwnerSnapshotInterval = absl::Seconds(15);
-// A new owner starts no tasks before it has read the runners' rows, unless the
-// store does not answer for this long.
+// A new owner, and one that was paused, starts no tasks before it has read the
+// runners' rows, unless the store does not answer for this long.
 constexpr absl::Duration kMaxRunnerRowsWait = absl::Seconds(1);
 // A request that was delayed for longer waited in the buffers of a paused
 // process; its caller may have submitted the job elsewhere.
@@ -185,6 +185,9 @@
 
   absl::Time Tick() {
     const absl::Time now = env_.clock.Monotonic();
+    if (dispatcher_.paused()) {
+      RefreshRunnerRows();
+    }
     absl::Time due = ownership_.Tick();
     router_.Tick();
     CancelJobsOfUnresponsiveEntries(now);
@@ -705,7 +708,7 @@
   void OnRunnerRows(const std::vector<Row>& rows, bool is_snapshot) {
     const absl::Time now = env_.clock.Monotonic();
     runners_read_ = now;
-    awaiting_runner_rows_ = false;
+    awaiting_rows_since_.reset();
     std::set<std::string> present;
     for (const auto& it : rows) {
       present.insert(it.key);
@@ -737,24 +740,32 @@
   }
 
   void FollowRunnerRows(bool follow) {
-    if (follow && !following_since_.has_value()) {
-      following_since_ = env_.clock.Monotonic();
-      awaiting_runner_rows_ = true;
+    if (follow && !following_rows_) {
+      awaiting_rows_since_ = env_.clock.Monotonic();
       runner_watcher_.FollowChanges(kOwnerPollInterval);
-    } else if (!follow && following_since_.has_value()) {
-      following_since_.reset();
+    } else if (!follow && following_rows_) {
+      awaiting_rows_since_.reset();
       runner_watcher_.TakeSnapshots(kNonOwnerSnapshotInterval);
     }
+    following_rows_ = follow;
+  }
+
+  void RefreshRunnerRows() {
+    if (following_rows_) {
+      awaiting_rows_since_ = env_.clock.Monotonic();
+      runner_watcher_.Refresh();
+      ApplyRunners();
+    }
   }
 
   void LimitRunnerRowsWait(absl::Time now) {
-    if (awaiting_runner_rows_ && following_since_.has_value() &&
-        now - *following_since_ > kMaxRunnerRowsWait) {
+    if (awaiting_rows_since_.has_value() &&
+        now - *awaiting_rows_since_ > kMaxRunnerRowsWait) {
       Log(LogLevel::kWarning,
-          "runners are used by rows read before the takeover",
+          "runners are used by rows read before a takeover or a pause",
           {{"runner_rows_age_ms",
             absl::StrCat(absl::ToInt64Milliseconds(now - runners_read_))}});
-      awaiting_runner_rows_ = false;
+      awaiting_rows_since_.reset();
       ApplyRunners();
     }
   }
@@ -805,7 +816,7 @@
       const uint64_t fence = ownership_.OwnedFence(runner.info.failure_domain);
       if (fence != 0) {
         owned.push_back({runner.info, fence,
-                         !awaiting_runner_rows_ &&
+                         !awaiting_rows_since_.has_value() &&
                              !returning_.contains(runner.info.failure_domain)});
       }
     }
@@ -993,10 +1004,9 @@
   std::map<std::string, Peer> peers_;               // by address
   std::map<std::string, KnownRunner> runners_;      // by row key
   absl::Time runners_read_ = absl::InfinitePast();  // last rows of runners
-  // Since when this daemon has owned a pool without interruption.
-  std::optional<absl::Time> following_since_;
-  // The rows were last read before `following_since_`.
-  bool awaiting_runner_rows_ = false;
+  bool following_rows_ = false;                     // this daemon owns a pool
+  // Since a takeover or a pause no rows have been read.
+  std::optional<absl::Time> awaiting_rows_since_;
   std::optional<RoutedDocuments> documents_;
   absl::flat_hash_map<uint64_t, ForwardedJob> forwarded_;
   std::map<std::string, std::map<std::string, uint64_t>> keys_of_entry_;
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -644,10 +644,11 @@
 }
 
 // Seed 7267: a late order started a run on a restarted runner, under a lease by
-// the clock of the runner's former incarnation.
+// the clock of the runner's former incarnation. Seed 3034: an owner that was
+// paused started tasks by the capacity that a runner had before.
 INSTANTIATE_TEST_SUITE_P(FormerViolations,
                          PoolFleetFaultTest,
-                         testing::Values(7267));
+                         testing::Values(7267, 3034));
 
 INSTANTIATE_TEST_SUITE_P(
     Seeds,
