Conclude no crash from a list without an incarnation

A list of runs without the runner's incarnation, which may be malformed, was taken for that of a restarted runner, so that the runs that it lacked counted as crashes. Such a list now says nothing about restarts. Run_ListWithoutIncarnation_ReportsNoCrash guards it. The reports of replaced runners are a function of their own.

--- a/src/leased_upstream_client.cc
+++ b/src/leased_upstream_client.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/container/btree_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
 #include "radishrail/log.h"
 #include "runner_contact.h"
@@ -270,6 +271,10 @@
   void ReportLostRuns(Runner& runner, UpstreamFate fate);
   // Reports all runs of an instance that has ended.
   void ReportCrash(Runner& runner);
+  // Reports the former runners whose address a new one has.
+  void ReportReplacedRunners(
+      const absl::btree_map<std::string, RunnerPointer>& former,
+      const std::vector<OwnedRunner>& runners);
   void FinishAll(const RunnerPointer& runner,
                  TaskOutcome outcome,
                  ErrorCode code,
@@ -308,18 +313,7 @@
     const std::vector<OwnedRunner>& runners) {
   absl::btree_map<std::string, RunnerPointer> former;
   former.swap(runners_);
-  std::map<std::string, std::string> new_vm_at;  // by address
-  for (const auto& it : runners) {
-    if (!former.contains(it.info.vm)) {
-      new_vm_at[it.info.address] = it.info.vm;
-    }
-  }
-  // The instance that had the address before has ended.
-  for (auto& [vm, runner] : former) {
-    if (new_vm_at.contains(runner->info.address)) {
-      ReportCrash(*runner);
-    }
-  }
+  ReportReplacedRunners(former, runners);
   for (const auto& it : runners) {
     RunnerPointer runner;
     const auto existing = former.find(it.info.vm);
@@ -711,8 +705,8 @@
                                                  const HoldReply& reply) {
   // The numbers of ended runs restart with each incarnation. Runs of the former
   // incarnation are missing from the lists.
-  const bool restarted =
-      runner->incarnation != 0 && reply.incarnation != runner->incarnation;
+  const bool restarted = runner->incarnation != 0 && reply.incarnation != 0 &&
+                         reply.incarnation != runner->incarnation;
   if (reply.incarnation != runner->incarnation) {
     runner->last_seen = 0;
     runner->acknowledged = 0;
@@ -825,6 +819,22 @@
   }
 }
 
+void LeasedUpstreamClient::Impl::ReportReplacedRunners(
+    const absl::btree_map<std::string, RunnerPointer>& former,
+    const std::vector<OwnedRunner>& runners) {
+  absl::flat_hash_set<std::string> new_addresses;
+  for (const auto& it : runners) {
+    if (!former.contains(it.info.vm)) {
+      new_addresses.insert(it.info.address);
+    }
+  }
+  for (const auto& [vm, runner] : former) {
+    if (new_addresses.contains(runner->info.address)) {
+      ReportCrash(*runner);
+    }
+  }
+}
+
 void LeasedUpstreamClient::Impl::FinishAll(const RunnerPointer& runner,
                                            TaskOutcome outcome,
                                            ErrorCode code,
--- a/tests/leased_upstream_client_test.cc
+++ b/tests/leased_upstream_client_test.cc
@@ -166,6 +166,17 @@
   EXPECT_THAT(fates_, ElementsAre(UpstreamFate::kSilent, UpstreamFate::kAlive));
 }
 
+// Guards against a crash that is concluded from a list without an incarnation.
+TEST_F(LeasedUpstreamClientTest, Run_ListWithoutIncarnation_ReportsNoCrash) {
+  runner_.run_time = absl::Seconds(2);
+  Start("0.0.0");
+  Run(absl::Milliseconds(100));
+  runner_.incarnation = 0;
+  Run(absl::Seconds(3));
+  EXPECT_THAT(fates_, IsEmpty());
+  EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kDone)));
+}
+
 // Guards against a runner that leaves being taken for one that crashed.
 TEST_F(LeasedUpstreamClientTest, Run_LeavingRunnerIsReplaced_ReportsNoCrash) {
   runner_.run_time = absl::Seconds(2);
--- a/tests/pool_fleet.h
+++ b/tests/pool_fleet.h
@@ -534,6 +534,11 @@
 
  public:
   bool store_down = false;
+  void SetStoreUnresponsive(bool unresponsive) {
+    for (auto& [name, daemon] : daemons_) {
+      daemon.store->unresponsive = unresponsive;
+    }
+  }
   void SetStoreDown(bool down) {
     store_down = down;
     ApplyCuts();
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -212,14 +212,9 @@
 // stays in force. Changes must be applied within 2 s after the store answers
 // again, plus 3 s until the daemons have reconnected.
 TEST_F(PoolFleetTest, Changes_StoreWasUnresponsive_AreAppliedInTime) {
-  const auto set_unresponsive = [this](bool unresponsive) {
-    for (const auto& it : fleet_.Names()) {
-      fleet_.daemon(it).store->unresponsive = unresponsive;
-    }
-  };
-  set_unresponsive(true);
+  fleet_.SetStoreUnresponsive(true);
   fleet_.loop.RunFor(absl::Seconds(4));
-  set_unresponsive(false);
+  fleet_.SetStoreUnresponsive(false);
   fleet_.loop.RunFor(absl::Seconds(3));
   fleet_.PutConfig(5, {"svc", "other"});
   for (const auto& it : fleet_.RunnerNames()) {
@@ -420,13 +415,9 @@
     SCOPED_TRACE(absl::StrCat("silent for ", ms, " ms"));
     PoolFleet fleet(1, 1, 1);
     fleet.loop.RunFor(absl::Seconds(3));
-    for (const auto& it : fleet.Names()) {
-      fleet.daemon(it).store->unresponsive = true;
-    }
+    fleet.SetStoreUnresponsive(true);
     fleet.loop.RunFor(absl::Milliseconds(ms));
-    for (const auto& it : fleet.Names()) {
-      fleet.daemon(it).store->unresponsive = false;
-    }
+    fleet.SetStoreUnresponsive(false);
     fleet.PutConfig(2, {"svc", "other"});
     fleet.loop.RunFor(kContactTime);
     for (const auto& it : fleet.Names()) {
@@ -435,6 +426,25 @@
   }
 }
 
+// Guards against tasks on leaving runners, since a call that the store never
+// answers is noticed late.
+TEST(PoolFleetSilenceTest, Runner_LeavesAsStoreAnswersAgain_GetsNoLateTasks) {
+  for (int ms = 2000; ms < 6000; ms += 100) {
+    SCOPED_TRACE(absl::StrCat("silent for ", ms, " ms"));
+    PoolFleet fleet(1, 1, 1);
+    fleet.loop.RunFor(absl::Seconds(3));
+    fleet.SetStoreUnresponsive(true);
+    fleet.loop.RunFor(absl::Milliseconds(ms));
+    fleet.SetStoreUnresponsive(false);
+    fleet.PutRunner("d1r0", "draining");
+    for (int i = 0; i < 60; ++i) {
+      fleet.Submit("d1n0", 2);
+      fleet.loop.RunFor(absl::Milliseconds(80));
+    }
+    EXPECT_THAT(fleet.log.starts_on_leaving, IsEmpty());
+  }
+}
+
 // Guards against an owner that cancels a job since its entry daemon, which was
 // idle before, sends no status in time.
 TEST(PoolFleetStatusTest, LongJob_EntryDaemonWasIdle_Completes) {
