--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -128,6 +128,7 @@
 TEST_F(PlatformAdapterTest, Watch_AnswerHasMaximumOfRows_SaysTruncated) {
   constexpr int kMaxRows = 500;
   std::vector<std::string> rows;
+  rows.reserve(kMaxRows);
   for (int i = 0; i < kMaxRows; ++i) {
     rows.push_back(MakeRow(absl::StrCat("a", i), "x"));
   }
