Answer as failed only what has failed for good

Cause: when a run fails and the deadline, or the limit of starts, leaves no further attempt, the job kept the error of that run, and the front answers "the upstream failed" as final.

Change: such a job ends with the reason why there is no further attempt, so that its client may submit it again.

TaskFailure_FailuresLeftButNoTime_IsDeadlineExceeded failed before with upstream_failed.

--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -582,6 +582,14 @@
     return std::min(backoff, kMaxBackoff) * (0.5 + random_.Unit());
   }
 
+  // A task with failures left has not failed for good, so its job may not be
+  // answered as one whose upstreams failed.
+  static void ReplaceUpstreamFailed(ErrorCode code, Error* error) {
+    if (error->code == ErrorCode::kUpstreamFailed) {
+      error->code = code;
+    }
+  }
+
   // Takes a token of the environment's and of the upstream's retry budget if
   // the task may be retried. Otherwise adds the reason to `error`, unless the
   // job has already failed.
@@ -597,11 +605,13 @@
     if (task.attempts >= max_attempts) {
       absl::StrAppend(&error->detail, error->detail.empty() ? "" : "; ",
                       "no attempts left; max_attempts is ", max_attempts);
+      ReplaceUpstreamFailed(ErrorCode::kRetryBudgetExhausted, error);
       return false;
     }
     if (now + backoff >= job.start_by - kTransmissionMargin) {
       absl::StrAppend(&error->detail, error->detail.empty() ? "" : "; ",
                       "the deadline would pass before the next attempt");
+      ReplaceUpstreamFailed(ErrorCode::kDeadlineExceeded, error);
       return false;
     }
     const RetryPermission permission =
--- a/tests/job_controller_test.cc
+++ b/tests/job_controller_test.cc
@@ -307,6 +307,23 @@
   EXPECT_EQ(scheduler_.invalid_releases, 0);
 }
 
+// Guards against a job that is answered as failed for good although its task
+// may fail again, since its deadline leaves no time for that.
+TEST_F(JobControllerTest,
+       TaskFailure_FailuresLeftButNoTime_IsDeadlineExceeded) {
+  JobSpec job = TestJob("k", 1, absl::Milliseconds(200));
+  job.tasks[0].max_failures = 3;
+  job.tasks[0].restartable = true;
+  Submit(job);
+  jobs_.Tick();
+  ASSERT_EQ(client_.calls.size(), 1u);
+  Advance(absl::Milliseconds(195));
+  Respond(0, Outcome(TaskOutcome::kFailed, ErrorCode::kUpstreamFailed));
+  ASSERT_TRUE(answers_[0].has_value());
+  EXPECT_EQ(answers_[0]->status, JobStatus::kFailed);
+  EXPECT_EQ(answers_[0]->error.code, ErrorCode::kDeadlineExceeded);
+}
+
 // Guards against a job that waits for its deadline although its last unfinished
 // task certainly did not start.
 TEST_F(JobControllerTest, NotStarted_AfterOtherTaskFailed_EndsJobAtOnce) {
