Close idle connections to a host that answers nothing

What callers could see: after connections to the store went silent without a reset, a configuration in force up to 2 s late, or tasks on a runner that had announced that it leaves; after those to runners went silent, runners that stay unusable for seconds.

Cause: a call that timed out was repeated on any idle connection to the same host. Connections that go silent together are all lost, and each repetition uses up one of them: 2 s each at the store (idle for up to 5 s), and up to 24 connections of a runner, idle for up to 30 s.

Change: if a request that was sent times out and its host has sent no response for 500 ms, the idle sockets to that host are shut down, so curl opens new ones. A single lost order to a runner that answers others keeps its connections. SocketTable follows which sockets a request uses.

Test: Client_HostBecameSilent_SendsOnNewConnection.

--- a/include/radishrail/http_client.h
+++ b/include/radishrail/http_client.h
@@ -54,6 +54,10 @@
   // the server is closing has an unknown outcome. Whole seconds.
   absl::Duration max_idle_time = absl::Seconds(5);
   absl::Duration connect_timeout = absl::Seconds(1);
+  // If a request gets no response and its host has sent none for this long, the
+  // host's idle connections are closed: they may be silent as well, and a
+  // request on them would be lost.
+  absl::Duration max_silence = absl::Milliseconds(500);
   size_t max_response_bytes = 8 * 1024 * 1024;
   Step step = Step::kForward;  // reported in errors
   std::string thread_name = "http_client";
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -23,7 +23,9 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "radishrail/log.h"
 #include "socket_address.h"
+#include "socket_table.h"
 
 namespace radishrail {
 
@@ -55,6 +57,7 @@
 // One request from `Send` to its callback.
 struct Transfer {
   HttpClientRequest request;
+  internal::SocketTable* sockets = nullptr;
   HttpClient::Callback callback;
   TimePoint deadline;
   HttpResult result;
@@ -70,6 +73,7 @@
 struct Host {
   int active = 0;
   std::deque<Transfer*> waiting;
+  std::optional<TimePoint> last_response;
 };
 
 // Called by curl when a connection is ready, before the first byte of the
@@ -215,6 +219,10 @@
                       void* self,
                       void* registered);
   static int OnTimer(CURLM* multi, long timeout_ms, void* self);
+  static curl_socket_t OnOpenSocket(void* transfer,
+                                    curlsocktype purpose,
+                                    curl_sockaddr* address);
+  static int OnCloseSocket(void* self, curl_socket_t socket);
 
   void Run();
   bool ProcessSubmitted();
@@ -228,6 +236,9 @@
   void ExpireWaiting();
   void ReadCompletions();
   void Complete(Transfer* transfer, CURLcode code);
+  bool IsSilent(const Host& host) const;
+  // Closes the idle connections to a host that is silent.
+  void CloseSilentConnections(const Transfer& transfer, CURLcode code);
   void Fail(Transfer* transfer, ErrorCode code, std::string detail);
   void PostResult(Transfer* transfer);
   void ReleaseHandle(Transfer& transfer);
@@ -254,6 +265,7 @@
   // Transfers that wait for a connection, by deadline.
   std::set<std::pair<TimePoint, Transfer*>> waiting_;
   absl::flat_hash_map<std::string, std::unique_ptr<Host>> hosts_;
+  internal::SocketTable sockets_;
 
   std::thread thread_;
 };
@@ -326,6 +338,8 @@
                                void* self,
                                void* registered) {
   auto* impl = static_cast<Impl*>(self);
+  // curl waits for a socket as long as a request uses it.
+  impl->sockets_.SetInUse(socket, what != CURL_POLL_REMOVE);
   if (what == CURL_POLL_REMOVE) {
     epoll_ctl(impl->epoll_.get(), EPOLL_CTL_DEL, socket, nullptr);
     return 0;
@@ -357,6 +371,24 @@
   return 0;
 }
 
+curl_socket_t HttpClient::Impl::OnOpenSocket(void* transfer,
+                                             curlsocktype /*purpose*/,
+                                             curl_sockaddr* address) {
+  const auto* opener = static_cast<Transfer*>(transfer);
+  const int fd = socket(address->family, address->socktype | SOCK_CLOEXEC,
+                        address->protocol);
+  if (fd < 0) {
+    return CURL_SOCKET_BAD;
+  }
+  opener->sockets->Add(fd, opener->request.address);
+  return fd;
+}
+
+int HttpClient::Impl::OnCloseSocket(void* self, curl_socket_t socket) {
+  static_cast<Impl*>(self)->sockets_.Remove(socket);
+  return close(socket);
+}
+
 int HttpClient::Impl::WaitMilliseconds() const {
   std::optional<TimePoint> due = curl_timer_at_;
   if (!waiting_.empty() && (!due || waiting_.begin()->first < *due)) {
@@ -453,6 +485,7 @@
     host = std::make_unique<Host>();
   }
   transfer->host = host.get();
+  transfer->sockets = &sockets_;
   host->waiting.push_back(transfer);
   waiting_.emplace(transfer->deadline, transfer);
   StartWaitingTransfers(*host);
@@ -494,6 +527,9 @@
   curl_easy_setopt(
       easy, CURLOPT_MAXAGE_CONN,
       static_cast<long>(absl::ToInt64Seconds(settings_.max_idle_time)));
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &Impl::OnOpenSocket);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &Impl::OnCloseSocket);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, this);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnBeforeRequest);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
@@ -530,6 +566,7 @@
                    static_cast<long>(remaining.count()));
   curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, transfer.error_text.data());
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
@@ -593,13 +630,35 @@
   active_.erase(transfer);
   --host->active;
   if (code == CURLE_OK) {
+    host->last_response = SteadyClock::now();
     PostResult(transfer);
   } else {
+    CloseSilentConnections(*transfer, code);
     Fail(transfer, ToErrorCode(*transfer, code), ErrorDetail(*transfer, code));
   }
   StartWaitingTransfers(*host);
 }
 
+bool HttpClient::Impl::IsSilent(const Host& host) const {
+  return !host.last_response.has_value() ||
+         absl::FromChrono(SteadyClock::now() - *host.last_response) >=
+             settings_.max_silence;
+}
+
+void HttpClient::Impl::CloseSilentConnections(const Transfer& transfer,
+                                              CURLcode code) {
+  if (!transfer.result.may_have_been_sent || code != CURLE_OPERATION_TIMEDOUT ||
+      !IsSilent(*transfer.host)) {
+    return;
+  }
+  const size_t closed = sockets_.ShutDownIdle(transfer.request.address);
+  if (closed > 0) {
+    Log(LogLevel::kInfo, "idle connections of a silent host closed",
+        {{"peer", transfer.request.address},
+         {"connections", absl::StrCat(closed)}});
+  }
+}
+
 void HttpClient::Impl::ReleaseHandle(Transfer& transfer) {
   curl_slist_free_all(std::exchange(transfer.headers, nullptr));
   CURL* easy = std::exchange(transfer.easy, nullptr);
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -77,6 +77,21 @@
     return SendAsync(*client_, std::move(request)).Wait();
   }
 
+  // Sends a request that gets no response.
+  void SendUnanswered(HttpClientRequest request) {
+    request.timeout = absl::Milliseconds(50);
+    HttpResult result;
+    while (!result.may_have_been_sent) {
+      result = Send(request);
+      EXPECT_EQ(result.error.code, ErrorCode::kDeadlineExceeded);
+    }
+  }
+
+  static void Answer(RawConnection& connection) {
+    connection.ReadUntil("body");
+    connection.Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  }
+
   HttpServerSettings settings_;
   HttpClientSettings client_settings_;
   ControlLoop loop_;
@@ -385,6 +400,52 @@
   }
 }
 
+// Two connections of a client are idle.
+class HttpIdleConnectionsTest : public HttpTest {
+ protected:
+  void Connect(absl::Duration max_silence) {
+    client_settings_.max_silence = max_silence;
+    client_settings_.max_idle_time = 2 * kTestWait;
+    client_ = std::make_unique<HttpClient>(client_settings_, loop_);
+    request_ = Request("POST", "body");
+    request_.address = listener_.address();
+    auto first = SendAsync(*client_, request_);
+    auto second = SendAsync(*client_, request_);
+    for (int i = 0; i < 2; ++i) {
+      connections_.push_back(listener_.Accept());
+    }
+    for (auto& it : connections_) {
+      Answer(it);
+    }
+    EXPECT_EQ(first.Wait().status, 200);
+    EXPECT_EQ(second.Wait().status, 200);
+  }
+
+  RawListener listener_;
+  HttpClientRequest request_;
+  std::vector<RawConnection> connections_;
+};
+
+// Guards against requests that are sent, one after the other, on connections
+// that went silent without a reset.
+TEST_F(HttpIdleConnectionsTest, Client_HostBecameSilent_SendsOnNewConnection) {
+  Connect(absl::ZeroDuration());
+  SendUnanswered(request_);
+  auto pending = SendAsync(*client_, request_);
+  auto connection = listener_.Accept();
+  Answer(connection);
+  EXPECT_EQ(pending.Wait().status, 200);
+}
+
+// Guards against sound connections that are given up since one request got no
+// response.
+TEST_F(HttpIdleConnectionsTest, Client_RequestUnanswered_KeepsConnections) {
+  Connect(absl::Hours(1));
+  SendUnanswered(request_);
+  SendUnanswered(request_);
+  EXPECT_FALSE(listener_.TryAccept().has_value());
+}
+
 TEST_F(HttpTest, Client_MayNotStart_SendsNothing) {
   RawListener listener;
   HttpClientRequest request = Request("POST", "body");
