Count a crash only under a run that its runner had confirmed

What callers could see: a job answered as failed for good although none of its tasks had crashed two runners, for the next 60 s also when submitted again.

Cause: when a runner came back under another incarnation or name, every run that was tracked for it counted as crashed under its task, also runs whose start order had got no answer. Such an order may have been sent after the crash; two of them gave the job up. Class: an outcome that is certain only in part, told as certain.

Change: an unconfirmed run of a crashed runner stays uncertain. Three uncertain losses end the job with an unknown outcome, as before. The log says under which task a runner was lost, and how certain that is.

Tests: Run_SentAfterCrash_IsUncertain and Run_SentAfterCrashToNewName_IsUncertain failed before.

--- a/include/radishrail/crash_table.h
+++ b/include/radishrail/crash_table.h
@@ -17,10 +17,10 @@
 enum class CrashVerdict {
   kRun,
   kGiveUp,      // upstreams crashed under one of its tasks
-  kUnresolved,  // too many upstreams are silent that executed one of its tasks
+  kUnresolved,  // too many upstreams may have crashed under one of its tasks
 };
 
-// Remembers the upstreams that crashed or became silent under a task, also
+// Remembers the upstreams that were lost under a task, also
 // after its job has ended, and decides whether the job may run.
 // Single-threaded.
 class CrashTable {
--- a/src/crash_table.cc
+++ b/src/crash_table.cc
@@ -10,9 +10,9 @@
 // Two crashes under one task are hardly chance, and each further one ends the
 // work of other callers on that upstream.
 constexpr size_t kMaxCrashed = 2;
-// A crash is certain only when the upstream is back, some seconds later. Until
-// then a task may be lost with this many upstreams, since they may also be cut
-// off.
+// A crash is certain only when the upstream is back, some seconds later, and
+// had confirmed the run. Otherwise a task may be lost with this many upstreams,
+// since they may also be cut off, or may not have received it.
 constexpr size_t kMaxLost = 3;
 // Longer than clients repeat a job.
 constexpr absl::Duration kRetention = absl::Seconds(60);
@@ -32,7 +32,7 @@
   FateOfVm& vms = job.tasks[fate.task_id];
   if (fate.fate == UpstreamFate::kAlive) {
     const auto it = vms.find(fate.vm);
-    if (it != vms.end() && it->second == UpstreamFate::kSilent) {
+    if (it != vms.end() && it->second == UpstreamFate::kUncertain) {
       vms.erase(it);
     }
     return &vms;
--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -60,7 +60,7 @@
     case ErrorCode::kUpstreamFailed:
       return "upstreams crashed under a task of the job";
     case ErrorCode::kOutcomeUnknown:
-      return "upstreams that executed a task of the job do not answer";
+      return "upstreams may have crashed under a task of the job";
     default:
       return "the caller disconnected or its entry daemon is unavailable";
   }
--- a/src/leased_upstream_client.cc
+++ b/src/leased_upstream_client.cc
@@ -59,6 +59,8 @@
   bool stop_requested = false;
   bool stop_pending = false;
   bool stop_acknowledged = false;
+  // The runner has said that it executes the run.
+  bool IsConfirmed() const { return phase == Phase::kRunning; }
   // No stop is sent before the start order is answered or has timed out.
   bool NeedsStop() const {
     return stop_requested && !stop_pending && !stop_acknowledged &&
@@ -90,6 +92,12 @@
           reply.error.code == ErrorCode::kDeadlineExceeded);
 }
 
+// A run that ended with its lease while its runner did not answer.
+struct LostRun {
+  RunKey key;
+  bool confirmed = false;
+};
+
 struct Runner {
   VmInfo info;
   uint64_t fence = 0;
@@ -115,8 +123,7 @@
   absl::Time next_hold = absl::InfinitePast();
   absl::Duration hold_retry_interval = kHoldRetryInterval;
   std::map<RunKey, Run> runs;
-  // Runs that ended with their lease while the runner did not answer.
-  std::vector<RunKey> lost_runs;
+  std::vector<LostRun> lost_runs;
   // Runs that the runner lists as active but this daemon does not track:
   // started by a former owner or already reported as ended. The value is the
   // time of the next stop order.
@@ -143,6 +150,12 @@
       [](const auto& it) { return it.second.phase != Phase::kStarting; });
 }
 
+// A run without a confirmation may not have begun: the order may have been sent
+// after the crash.
+UpstreamFate FateOfCrash(bool confirmed) {
+  return confirmed ? UpstreamFate::kCrashed : UpstreamFate::kUncertain;
+}
+
 TaskResult MakeResult(TaskOutcome outcome, ErrorCode code, std::string detail) {
   TaskResult result;
   result.outcome = outcome;
@@ -267,8 +280,9 @@
   void OnRunEnded(const RunnerPointer& runner, const EndedRun& ended);
   void OnOtherInstance(const RunnerPointer& runner);
   void ReportFate(const Runner& runner, const RunKey& key, UpstreamFate fate);
-  // Reports the runs that were lost while the runner was silent.
-  void ReportLostRuns(Runner& runner, UpstreamFate fate);
+  // Reports the runs that were lost while the runner was silent. It has
+  // crashed meanwhile, or answers again.
+  void ReportLostRuns(Runner& runner, bool crashed);
   // Reports all runs of an instance that has ended.
   void ReportCrash(Runner& runner);
   // Reports the former runners whose address a new one has.
@@ -711,8 +725,7 @@
     runner->last_seen = 0;
     runner->acknowledged = 0;
   }
-  ReportLostRuns(*runner,
-                 restarted ? UpstreamFate::kCrashed : UpstreamFate::kAlive);
+  ReportLostRuns(*runner, restarted);
   if (reply.incarnation != 0) {
     runner->incarnation = reply.incarnation;
   }
@@ -745,7 +758,7 @@
   }
   for (const auto& it : missing) {
     if (restarted) {
-      ReportFate(*runner, it, UpstreamFate::kCrashed);
+      ReportFate(*runner, it, FateOfCrash(runner->runs.at(it).IsConfirmed()));
     }
     Finish(runner, it,
            MakeResult(TaskOutcome::kEnded, ErrorCode::kUnreachable,
@@ -805,17 +818,17 @@
   }
 }
 
-void LeasedUpstreamClient::Impl::ReportLostRuns(Runner& runner,
-                                                UpstreamFate fate) {
+void LeasedUpstreamClient::Impl::ReportLostRuns(Runner& runner, bool crashed) {
   for (const auto& it : std::exchange(runner.lost_runs, {})) {
-    ReportFate(runner, it, fate);
+    ReportFate(runner, it.key,
+               crashed ? FateOfCrash(it.confirmed) : UpstreamFate::kAlive);
   }
 }
 
 void LeasedUpstreamClient::Impl::ReportCrash(Runner& runner) {
-  ReportLostRuns(runner, UpstreamFate::kCrashed);
+  ReportLostRuns(runner, /*crashed=*/true);
   for (const auto& [key, run] : runner.runs) {
-    ReportFate(runner, key, UpstreamFate::kCrashed);
+    ReportFate(runner, key, FateOfCrash(run.IsConfirmed()));
   }
 }
 
@@ -917,8 +930,8 @@
     }
   }
   for (const auto& it : expired) {
-    runner->lost_runs.push_back(it);
-    ReportFate(*runner, it, UpstreamFate::kSilent);
+    runner->lost_runs.push_back({it, runner->runs.at(it).IsConfirmed()});
+    ReportFate(*runner, it, UpstreamFate::kUncertain);
     Finish(runner, it,
            MakeResult(TaskOutcome::kEnded, ErrorCode::kUnreachable,
                       "the lease expired without an answer from the runner"));
--- a/src/pool_dispatcher.cc
+++ b/src/pool_dispatcher.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "radishrail/job_answers.h"
+#include "radishrail/log.h"
 
 namespace radishrail {
 
@@ -41,7 +42,7 @@
       job, {CodeOf(verdict), Step::kExecution, "",
             verdict == CrashVerdict::kGiveUp
                 ? "upstreams crashed under a task of the job before"
-                : "upstreams that executed a task of the job do not answer"});
+                : "upstreams may have crashed under a task of the job before"});
   answer.status = JobStatus::kFailed;
   return answer;
 }
@@ -167,6 +168,11 @@
 // The jobs are ended later, since the client may be within a change of its
 // state.
 void PoolDispatcher::OnFate(const RunFate& fate) {
+  Log(LogLevel::kInfo, "upstream lost under a task",
+      {{"request", fate.job_key},
+       {"task", fate.task_id},
+       {"upstream", fate.vm},
+       {"fate", std::string(UpstreamFateName(fate.fate))}});
   crashes_.Record(fate);
   affected_jobs_.push_back(fate.job_key);
 }
--- a/tests/crash_table_test.cc
+++ b/tests/crash_table_test.cc
@@ -42,7 +42,7 @@
 // while.
 TEST_F(CrashTableTest, Job_SilentUpstreamsAnswerAgain_Runs) {
   for (const char* it : {"r1", "r2", "r3"}) {
-    table_.Record(Fate(it, UpstreamFate::kSilent));
+    table_.Record(Fate(it, UpstreamFate::kUncertain));
   }
   EXPECT_EQ(table_.Judge("job"), CrashVerdict::kUnresolved);
   table_.Record(Fate("r2", UpstreamFate::kAlive));
@@ -52,7 +52,7 @@
 // Guards against a silent upstream that is not recognized as crashed later.
 TEST_F(CrashTableTest, Job_SilentUpstreamsTurnOutCrashed_IsGivenUp) {
   for (const char* it : {"r1", "r2"}) {
-    table_.Record(Fate(it, UpstreamFate::kSilent));
+    table_.Record(Fate(it, UpstreamFate::kUncertain));
     table_.Record(Fate(it, UpstreamFate::kCrashed));
     table_.Record(Fate(it, UpstreamFate::kAlive));
   }
--- a/tests/leased_upstream_client_test.cc
+++ b/tests/leased_upstream_client_test.cc
@@ -78,8 +78,10 @@
       [this](const RunFate& fate) { fates_.push_back(fate.fate); }};
 };
 
+using testing::Each;
 using testing::ElementsAre;
 using testing::IsEmpty;
+using testing::Not;
 using testing::Pair;
 
 // Guards against results that are lost or reported twice.
@@ -137,11 +139,11 @@
   transport_.cut.insert("r1:1");
   runner_.Crash();
   Run(absl::Seconds(3));
-  EXPECT_THAT(fates_, ElementsAre(UpstreamFate::kSilent));
+  EXPECT_THAT(fates_, ElementsAre(UpstreamFate::kUncertain));
   transport_.cut.clear();
   Run(absl::Seconds(3));
   EXPECT_THAT(fates_,
-              ElementsAre(UpstreamFate::kSilent, UpstreamFate::kCrashed));
+              ElementsAre(UpstreamFate::kUncertain, UpstreamFate::kCrashed));
 }
 
 // Guards against a crash that is not noticed, since the runner has a new name
@@ -154,6 +156,28 @@
   EXPECT_THAT(fates_, ElementsAre(UpstreamFate::kCrashed));
 }
 
+// Guards against a crash that counts against a task whose start order the
+// runner never received, since it had crashed before.
+TEST_F(LeasedUpstreamClientTest, Run_SentAfterCrash_IsUncertain) {
+  transport_.cut.insert("r1:1");
+  Start("0.0.0");
+  Run(absl::Seconds(3));
+  runner_.Crash();
+  transport_.cut.clear();
+  Run(absl::Seconds(3));
+  EXPECT_THAT(fates_, Each(UpstreamFate::kUncertain));
+  EXPECT_THAT(fates_, Not(IsEmpty()));
+}
+
+// Guards against the same if the runner has a new name when it is back.
+TEST_F(LeasedUpstreamClientTest, Run_SentAfterCrashToNewName_IsUncertain) {
+  transport_.cut.insert("r1:1");
+  Start("0.0.0");
+  Run(absl::Milliseconds(300));
+  client_.SetRunners({{MakeInfo("r0"), kFence}});
+  EXPECT_THAT(fates_, ElementsAre(UpstreamFate::kUncertain));
+}
+
 // Guards against a silence that is taken for a crash.
 TEST_F(LeasedUpstreamClientTest, Run_RunnerSilentForAWhile_ReportsNoCrash) {
   runner_.run_time = absl::Seconds(9);
@@ -163,7 +187,8 @@
   Run(absl::Seconds(3));
   transport_.cut.clear();
   Run(absl::Seconds(3));
-  EXPECT_THAT(fates_, ElementsAre(UpstreamFate::kSilent, UpstreamFate::kAlive));
+  EXPECT_THAT(fates_,
+              ElementsAre(UpstreamFate::kUncertain, UpstreamFate::kAlive));
 }
 
 // Guards against a crash that is concluded from a list without an incarnation.
--- a/tests/pool_fleet.h
+++ b/tests/pool_fleet.h
@@ -72,6 +72,9 @@
   static constexpr absl::Duration kDeclaredRun = absl::Milliseconds(100);
   static constexpr absl::Duration kPromiseBase = absl::Seconds(1);
   static constexpr int kPromiseStretch = 10;
+  static constexpr int kMaxFailures = 3;
+  // A job may be given up after this many crashes under one of its tasks.
+  static constexpr int kMaxCrashes = 2;
   static inline const absl::Duration kPromised =
       kPromiseBase + kPromiseStretch * kDeclaredRun;
 
@@ -367,7 +370,7 @@
       route.host = "host";
       route.path_prefix = absl::StrCat("/", it, "/");
       route.upstream_class = it;
-      route.max_failures = 3;
+      route.max_failures = kMaxFailures;
       route.stretch = kPromiseStretch;
       route.base = kPromiseBase;
       auto document = std::make_shared<VersionedDocument>();
@@ -486,6 +489,17 @@
     });
   }
 
+  bool HasFailedForGood(const ClientJob& job) {
+    for (int i = 0; i < job.tasks; ++i) {
+      const std::string task = absl::StrCat(job.key, "/0.0.", i);
+      if (log.failures[task] >= kMaxFailures ||
+          log.crashes[task] >= kMaxCrashes) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   void OnAnswer(const std::string& key,
                 int submission,
                 JobStatus status,
@@ -503,6 +517,10 @@
         }
       }
     }
+    if (status == JobStatus::kFailed &&
+        error.code == ErrorCode::kUpstreamFailed && !HasFailedForGood(job)) {
+      log.violations.push_back(absl::StrCat(key, " failed without a cause"));
+    }
     job.refused_only = job.refused_only && status == JobStatus::kNotRun;
     log.Note(clock, absl::StrCat(key, " submission ", submission, " at ",
                                  job.entry, ": ", static_cast<int>(status), " ",
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -650,15 +650,16 @@
   }
   EXPECT_THAT(fleet.log.starts_over_capacity, IsEmpty())
       << fleet.log.TraceOf("faults");
-  EXPECT_THAT(fleet.log.violations, IsEmpty());
+  EXPECT_THAT(fleet.log.violations, IsEmpty()) << fleet.log.TraceOfViolation();
 }
 
 // Seed 7267: a late order started a run on a restarted runner, under a lease by
 // the clock of the runner's former incarnation. Seed 3034: an owner that was
-// paused started tasks by the capacity that a runner had before.
+// paused started tasks by the capacity that a runner had before. Seed 50470: a
+// job failed for good since a runner had crashed that never received its order.
 INSTANTIATE_TEST_SUITE_P(FormerViolations,
                          PoolFleetFaultTest,
-                         testing::Values(7267, 3034));
+                         testing::Values(7267, 3034, 50470));
 
 INSTANTIATE_TEST_SUITE_P(
     Seeds,
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -67,7 +67,9 @@
   std::vector<std::string> starts_on_leaving;  // later than `kDrainLimit`
   std::vector<std::string> starts_over_capacity;
   std::set<std::string> crashing_jobs;  // their tasks crash the runners
-  std::map<std::string, int> crashes;   // by task
+  // Runners that crashed under a run whose end was not taken note of, by task.
+  std::map<std::string, int> crashes;
+  std::map<std::string, int> failures;  // runs that failed, by task
   std::map<std::string, int> starts_after_three_crashes;  // by task
   // Since when all daemons can read the rows of runners; infinite: they cannot.
   absl::Time rows_readable_since = absl::InfinitePast();
@@ -197,8 +199,13 @@
 
   // Restarts the runner: all runs end and all state is lost.
   void Crash() {
+    for (const auto& it : ended_) {
+      NoteCrashUnder(absl::StrCat(it.job_key, "/", it.task_id));
+    }
     while (!runs_.empty()) {
-      Forget(runs_.begin()->first);
+      const std::string task = runs_.begin()->first;
+      NoteCrashUnder(task);
+      Forget(task);
     }
     ended_.clear();
     highest_run_.clear();
@@ -293,13 +300,16 @@
   void CrashUnder(const std::string& task, uint64_t number) {
     const auto it = runs_.find(task);
     if (it != runs_.end() && it->second.number == number) {
-      ++log_.crashes[task];
-      log_.Note(clock_, absl::StrCat(name_, " crashes under ", task));
       Crash();
       on_crash();
     }
   }
 
+  void NoteCrashUnder(const std::string& task) {
+    ++log_.crashes[task];
+    log_.Note(clock_, absl::StrCat(name_, " crashes under ", task));
+  }
+
   void Forget(const std::string& task) {
     --log_.active[task];
     runs_.erase(task);
@@ -319,6 +329,8 @@
                                    static_cast<int>(end)));
     if (end == RunEnd::kDone) {
       log_.done.insert(task);
+    } else if (end == RunEnd::kFailed) {
+      ++log_.failures[task];
     }
     Forget(task);
     while (!waiters_.empty()) {
