Acknowledge ended runs only to the incarnation that listed them

What callers could see: a task that had run to its end was run again.

Cause: a hold acknowledges the ends of runs up to a number, and the numbers begin anew when a runner restarts under its name. A start order without an answer may have been executed by the new incarnation. The next hold still acknowledged up to the number of the former one, so the runner forgot the end of that run before it was read; the list then showed no trace of the run, and the task was started again. An idle runner is not polled, so its restart is noticed only by its row or by the next order.

Run_StartedUnansweredAfterRestart_IsListed failed before.

Change: after a start order without an answer, and when the runner's clock went back, a hold acknowledges nothing until a list that was requested afterwards has arrived.

--- a/src/leased_upstream_client.cc
+++ b/src/leased_upstream_client.cc
@@ -120,6 +120,10 @@
   bool hold_is_long_poll = false;  // the pending hold has a `wait`
   uint64_t hold_number = 0;
   absl::Time hold_sent;
+  // When the newest list that arrived was requested.
+  absl::Time list_requested = absl::InfinitePast();
+  // Since then an order may have been executed in a new incarnation.
+  absl::Time maybe_restarted = absl::InfinitePast();
   absl::Time next_hold = absl::InfinitePast();
   absl::Duration hold_retry_interval = kHoldRetryInterval;
   std::map<RunKey, Run> runs;
@@ -143,6 +147,13 @@
                      });
 }
 
+// Highest number of an ended run that a hold may acknowledge. The numbers begin
+// anew with each incarnation, so in a new one the runner would forget ends that
+// were never read.
+uint64_t AcknowledgeableEnd(const Runner& runner) {
+  return runner.maybe_restarted > runner.list_requested ? 0 : runner.last_seen;
+}
+
 // True if a list of the runner would say something about one of its runs.
 bool HasAnsweredRun(const Runner& runner) {
   return std::any_of(
@@ -360,11 +371,12 @@
 
 void LeasedUpstreamClient::Impl::UpdateClock(Runner& runner, int64_t clock_ms) {
   if (clock_ms > 0) {
-    // The clock restarts with each incarnation, and no lease exceeds the
-    // longest one.
+    // The clock and the numbers of ended runs restart with each incarnation,
+    // and no lease exceeds the longest one.
     if (clock_ms < runner.clock_ms) {
       runner.lease_until_ms =
           clock_ms + absl::ToInt64Milliseconds(settings_.max_lease);
+      runner.maybe_restarted = Now();
     }
     runner.clock_ms = clock_ms;
     runner.clock_received = Now();
@@ -503,6 +515,7 @@
 void LeasedUpstreamClient::Impl::MarkUnconfirmed(Runner& runner, Run& run) {
   run.phase = Phase::kUnconfirmed;
   run.unconfirmed_since = Now();
+  runner.maybe_restarted = Now();
   runner.next_hold = std::min(runner.next_hold, Now());
 }
 
@@ -614,7 +627,7 @@
   HoldOrder order;
   order.runner = {runner->info.vm, runner->info.address};
   order.fence = runner->fence;
-  order.last_seen = runner->last_seen;
+  order.last_seen = AcknowledgeableEnd(*runner);
   if (runner->usable && HasRunInPhase(*runner, Phase::kRunning)) {
     order.lease_until_ms = GrantLease(*runner, settings_.max_lease);
   }
@@ -721,6 +734,7 @@
   // incarnation are missing from the lists.
   const bool restarted = runner->incarnation != 0 && reply.incarnation != 0 &&
                          reply.incarnation != runner->incarnation;
+  runner->list_requested = std::max(runner->list_requested, sent);
   if (reply.incarnation != runner->incarnation) {
     runner->last_seen = 0;
     runner->acknowledged = 0;
--- a/tests/leased_upstream_client_test.cc
+++ b/tests/leased_upstream_client_test.cc
@@ -131,6 +131,32 @@
   EXPECT_GT(usable_changes_, changes);
 }
 
+// Guards against the end of a run that a restarted runner forgets before it is
+// read, since an order acknowledges ends of the former incarnation.
+TEST_F(LeasedUpstreamClientTest, Run_StartedAfterRestart_ReportsDone) {
+  Start("0.0.0");
+  Run(absl::Seconds(3));
+  runner_.Crash();
+  Start("0.0.1");
+  Run(absl::Seconds(3));
+  EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kDone),
+                                    Pair("0.0.1", TaskOutcome::kDone)));
+}
+
+// Guards against the same if the start order gets no answer.
+TEST_F(LeasedUpstreamClientTest, Run_StartedUnansweredAfterRestart_IsListed) {
+  Start("0.0.0");
+  Run(absl::Seconds(3));
+  runner_.Crash();
+  transport_.answers_lost.insert("r1:1");
+  Start("0.0.1");
+  Run(absl::Milliseconds(200));
+  transport_.answers_lost.clear();
+  Run(absl::Seconds(3));
+  EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kDone),
+                                    Pair("0.0.1", TaskOutcome::kDone)));
+}
+
 // Guards against a crash under a run that is taken for a silence.
 TEST_F(LeasedUpstreamClientTest, Run_RunnerRestarts_ReportsCrash) {
   runner_.run_time = absl::Seconds(2);
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -657,9 +657,10 @@
 // the clock of the runner's former incarnation. Seed 3034: an owner that was
 // paused started tasks by the capacity that a runner had before. Seed 50470: a
 // job failed for good since a runner had crashed that never received its order.
+// Seed 50240: the end of a run in a restarted runner was forgotten unread.
 INSTANTIATE_TEST_SUITE_P(FormerViolations,
                          PoolFleetFaultTest,
-                         testing::Values(7267, 3034, 50470));
+                         testing::Values(7267, 3034, 50470, 50240));
 
 INSTANTIATE_TEST_SUITE_P(
     Seeds,
