Move what is known of runners out of PoolNode

RunnerTable holds the rows of runners, when they were read and whether they must be read again; PoolNode keeps the calls of the store and the pools.

--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -19,6 +19,7 @@
 #include "radishrail/pool_ownership.h"
 #include "radishrail/pool_router.h"
 #include "radishrail/store_watcher.h"
+#include "runner_table.h"
 
 namespace radishrail {
 
@@ -34,17 +35,10 @@
 // If an entry daemon sends nothing for longer, its jobs are cancelled, since
 // its callers submit them again elsewhere.
 constexpr absl::Duration kEntryTimeout = absl::Milliseconds(900);
-// A runner that responds is kept for this long after its row disappeared: the
-// rows of live runners expire while the store is unreachable and reappear
-// later.
-constexpr absl::Duration kMissingRowTimeout = absl::Milliseconds(2500);
 // The runners' rows change with each heartbeat. Owners must notice a draining
 // runner within 2 s; other daemons read the rows only to learn of new pools.
 constexpr absl::Duration kOwnerPollInterval = absl::Milliseconds(400);
 constexpr absl::Duration kNonOwnerSnapshotInterval = absl::Seconds(15);
-// A new owner, and one that was paused, starts no tasks before it has read the
-// runners' rows, unless the store does not answer for this long.
-constexpr absl::Duration kMaxRunnerRowsWait = absl::Seconds(1);
 // A request that was delayed for longer waited in the buffers of a paused
 // process; its caller may have submitted the job elsewhere.
 constexpr absl::Duration kMaxExcessTransitTime = absl::Milliseconds(400);
@@ -92,12 +86,6 @@
   bool status_sent = false;  // a status was sent on the current connection
 };
 
-struct KnownRunner {
-  VmInfo info;
-  int64_t row_version = 0;
-  std::optional<absl::Time> missing_since;
-};
-
 struct PendingCancel {
   std::function<void(bool)> on_result;
   size_t replies = 0;
@@ -156,7 +144,8 @@
                         env.executor,
                         env.random,
                         [this](const std::vector<Row>& rows, bool is_snapshot) {
-                          OnRunnerRows(rows, is_snapshot);
+                          runners_.OnRows(rows, is_snapshot);
+                          ApplyRunners();
                         }),
         document_watcher_(codec_.documents_key,
                           settings.document_watch_wait,
@@ -167,9 +156,13 @@
                           [this](const std::vector<Row>& rows, bool) {
                             OnDocumentRows(rows);
                           }),
-        malformed_rows_(
-            env.metrics.counter("radishrail_store_rows_spoiled_total",
-                                "Rows that could not be decoded")),
+        runners_(
+            env.clock,
+            codec_.parse_runner,
+            [this](const std::string& pool) {
+              return ownership_.OwnedFence(pool) != 0;
+            },
+            env.metrics),
         document_version_(
             env.metrics.gauge("radishrail_document_version",
                               "Version of the configuration in force")) {
@@ -191,8 +184,7 @@
     absl::Time due = ownership_.Tick();
     router_.Tick();
     CancelJobsOfUnresponsiveEntries(now);
-    ExpireRunners(now);
-    LimitRunnerRowsWait(now);
+    ExpireRunners();
     ExpireCancels(now);
     SendStatus(now);
     PullDocuments(now);
@@ -705,46 +697,12 @@
 
   // --- Runners ---
 
-  void OnRunnerRows(const std::vector<Row>& rows, bool is_snapshot) {
-    const absl::Time now = env_.clock.Monotonic();
-    runners_read_ = now;
-    awaiting_rows_since_.reset();
-    std::set<std::string> present;
-    for (const auto& it : rows) {
-      present.insert(it.key);
-      if (it.version == 0) {
-        MarkMissing(it.key, now);
-        continue;
-      }
-      Error error;
-      auto info = codec_.parse_runner(it, &error);
-      if (!info.has_value()) {
-        malformed_rows_.Add();
-        LogFailure("malformed row of a runner ignored", error);
-        continue;
-      }
-      KnownRunner& runner = runners_[it.key];
-      LogStateChange(runner, *info, it.version);
-      runner.info = *std::move(info);
-      runner.row_version = it.version;
-      runner.missing_since.reset();
-    }
-    if (is_snapshot) {
-      for (const auto& [key, runner] : runners_) {
-        if (!present.contains(key)) {
-          MarkMissing(key, now);
-        }
-      }
-    }
-    ApplyRunners();
-  }
-
   void FollowRunnerRows(bool follow) {
     if (follow && !following_rows_) {
-      awaiting_rows_since_ = env_.clock.Monotonic();
+      runners_.AwaitRows();
       runner_watcher_.FollowChanges(kOwnerPollInterval);
     } else if (!follow && following_rows_) {
-      awaiting_rows_since_.reset();
+      runners_.StopAwaitingRows();
       runner_watcher_.TakeSnapshots(kNonOwnerSnapshotInterval);
     }
     following_rows_ = follow;
@@ -752,58 +710,16 @@
 
   void RefreshRunnerRows() {
     if (following_rows_) {
-      awaiting_rows_since_ = env_.clock.Monotonic();
+      runners_.AwaitRows();
       runner_watcher_.Refresh();
       ApplyRunners();
     }
   }
 
-  void LimitRunnerRowsWait(absl::Time now) {
-    if (awaiting_rows_since_.has_value() &&
-        now - *awaiting_rows_since_ > kMaxRunnerRowsWait) {
-      Log(LogLevel::kWarning,
-          "runners are used by rows read before a takeover or a pause",
-          {{"runner_rows_age_ms",
-            absl::StrCat(absl::ToInt64Milliseconds(now - runners_read_))}});
-      awaiting_rows_since_.reset();
-      ApplyRunners();
-    }
-  }
-
-  // Reports on runners of other pools are left to their owners.
-  void LogStateChange(const KnownRunner& known,
-                      const VmInfo& info,
-                      int64_t row_version) {
-    const bool was_leaving = known.info.state == VmState::kLeaving;
-    const bool leaving = info.state == VmState::kLeaving;
-    if (leaving == was_leaving ||
-        ownership_.OwnedFence(info.failure_domain) == 0) {
-      return;
-    }
-    Log(LogLevel::kInfo,
-        leaving ? "runner is leaving" : "runner no longer leaving",
-        {{"upstream", info.vm},
-         {"row_version", absl::StrCat(row_version)},
-         {"row_version_before", absl::StrCat(known.row_version)}});
-  }
-
-  void MarkMissing(const std::string& key, absl::Time now) {
-    const auto it = runners_.find(key);
-    if (it != runners_.end() && !it->second.missing_since.has_value()) {
-      it->second.missing_since = now;
-    }
-  }
-
-  // Removes runners whose row is missing: at once if the runner does not
-  // respond either, otherwise after `kMissingRowTimeout`.
-  void ExpireRunners(absl::Time now) {
-    const size_t n = std::erase_if(runners_, [&](const auto& it) {
-      const KnownRunner& runner = it.second;
-      return runner.missing_since.has_value() &&
-             (!dispatcher_.Usable(runner.info.vm) ||
-              now - *runner.missing_since > kMissingRowTimeout);
-    });
-    if (n > 0) {
+  void ExpireRunners() {
+    const bool removed = runners_.RemoveMissing(
+        [this](const std::string& vm) { return dispatcher_.Usable(vm); });
+    if (runners_.ExpireWait() || removed) {
       ApplyRunners();
     }
   }
@@ -811,12 +727,12 @@
   void ApplyRunners() {
     std::set<std::string> pools = {settings_.failure_domain};
     std::vector<LeasedUpstreamClient::OwnedRunner> owned;
-    for (const auto& [key, runner] : runners_) {
+    for (const auto& [key, runner] : runners_.runners()) {
       pools.insert(runner.info.failure_domain);
       const uint64_t fence = ownership_.OwnedFence(runner.info.failure_domain);
       if (fence != 0) {
         owned.push_back({runner.info, fence,
-                         !awaiting_rows_since_.has_value() &&
+                         !runners_.is_awaiting_rows() &&
                              !returning_.contains(runner.info.failure_domain)});
       }
     }
@@ -829,8 +745,7 @@
       Log(LogLevel::kInfo, "pool acquired",
           {{"pool", pool},
            {"runner_rows_age_ms",
-            absl::StrCat(absl::ToInt64Milliseconds(env_.clock.Monotonic() -
-                                                   runners_read_))}});
+            absl::StrCat(absl::ToInt64Milliseconds(runners_.age()))}});
     }
     OnOwnershipChanged();
   }
@@ -999,14 +914,10 @@
   PoolRouter router_;
   StoreWatcher runner_watcher_;
   StoreWatcher document_watcher_;
-  Counter& malformed_rows_;
+  internal::RunnerTable runners_;
   Gauge& document_version_;
-  std::map<std::string, Peer> peers_;               // by address
-  std::map<std::string, KnownRunner> runners_;      // by row key
-  absl::Time runners_read_ = absl::InfinitePast();  // last rows of runners
-  bool following_rows_ = false;                     // this daemon owns a pool
-  // Since a takeover or a pause no rows have been read.
-  std::optional<absl::Time> awaiting_rows_since_;
+  std::map<std::string, Peer> peers_;  // by address
+  bool following_rows_ = false;        // this daemon owns a pool
   std::optional<RoutedDocuments> documents_;
   absl::flat_hash_map<uint64_t, ForwardedJob> forwarded_;
   std::map<std::string, std::map<std::string, uint64_t>> keys_of_entry_;
