Tell peers that a silent runner answers again

What callers could see: a job answered with an unknown outcome for up to 60 s, at other owners than the one that executed it, since its runners had been silent for a while.

Cause: peers were told of the losses of a task, but not of a runner that answers again, so they counted it until they forgot the job.

Change: that a runner answers again is shared like a loss, after the losses.

--- a/include/radishrail/crash_table.h
+++ b/include/radishrail/crash_table.h
@@ -21,9 +21,8 @@
   kUnresolved,  // too many upstreams may have crashed under one of its tasks
 };
 
-// Remembers the upstreams that were lost under a task, also
-// after its job has ended, and decides whether the job may run.
-// Single-threaded.
+// Remembers the upstreams that were lost under a task, also after its job has
+// ended, and decides whether the job may run. Single-threaded.
 class CrashTable {
  public:
   explicit CrashTable(const Clock& clock) : clock_(clock) {}
@@ -58,10 +57,11 @@
   const Clock& clock_;
   absl::flat_hash_map<std::string, Job> jobs_;  // by key
   absl::Time next_cleanup_ = absl::InfinitePast();
-  // Of tasks under which one upstream was lost, and more than one. Many are
-  // lost at once with a rack, which must not displace those of the others.
-  std::deque<SharedFate> shared_of_one_;
-  std::deque<SharedFate> shared_of_several_;
+  // All upstreams lost under tasks that lost more than one.
+  std::deque<SharedFate> shared_repeated_;
+  // Other losses, and upstreams that answer again. A rack that is lost causes
+  // many, which must not displace the repeated ones.
+  std::deque<SharedFate> shared_single_;
 };
 
 }  // namespace radishrail
--- a/src/crash_table.cc
+++ b/src/crash_table.cc
@@ -49,13 +49,13 @@
   if (lost == nullptr) {
     return;
   }
-  if (lost->size() < 2) {
-    Share(shared_of_one_, fate);
+  if (lost->size() < 2 || fate.fate == UpstreamFate::kAlive) {
+    Share(shared_single_, fate);
     return;
   }
   for (const auto& [upstream, known] : *lost) {
     const auto& [vm, incarnation] = upstream;
-    Share(shared_of_several_,
+    Share(shared_repeated_,
           {fate.job_key, fate.task_id, vm, incarnation, known});
   }
 }
@@ -95,7 +95,8 @@
 std::vector<RunFate> CrashTable::Shared() {
   const absl::Time now = clock_.Monotonic();
   std::vector<RunFate> fates;
-  for (auto* queue : {&shared_of_one_, &shared_of_several_}) {
+  // An upstream that answers again was lost before, perhaps with others.
+  for (auto* queue : {&shared_repeated_, &shared_single_}) {
     while (!queue->empty() && queue->front().until < now) {
       queue->pop_front();
     }
--- a/tests/crash_table_test.cc
+++ b/tests/crash_table_test.cc
@@ -89,6 +89,20 @@
   EXPECT_EQ(successor.Judge("job"), CrashVerdict::kGiveUp);
 }
 
+// Guards against peers that give up a job since upstreams were silent for a
+// while.
+TEST_F(CrashTableTest, Shared_SilentUpstreamAnswersAgain_RunsAtPeers) {
+  CrashTable peer(clock_);
+  for (const char* it : {"r1", "r2", "r3"}) {
+    table_.Record(Fate(it, UpstreamFate::kUncertain));
+  }
+  SendTo(peer);
+  EXPECT_EQ(peer.Judge("job"), CrashVerdict::kUnresolved);
+  table_.Record(Fate("r2", UpstreamFate::kAlive));
+  SendTo(peer);
+  EXPECT_EQ(peer.Judge("job"), CrashVerdict::kRun);
+}
+
 // Guards against an owner that was started after the first crash, and does not
 // learn of it with the second one.
 TEST_F(CrashTableTest, Shared_SecondUpstreamLost_HoldsBoth) {
