Mend what a second reading of the change found

The comment of PoolStatus::run_fates said that single losses are not sent, which changed. Two new adapter tests had been put between a test and its comment. Two tests of a silent store shared five lines of set-up, now PoolFleetSilenceTest::SilenceStore; the test of crashing tasks repeated the loop of StartsBeyondBudget, with the same bound of two starts. No assertion is looser, no code of the daemon changes.

--- a/include/radishrail/peer_message.h
+++ b/include/radishrail/peer_message.h
@@ -263,7 +263,7 @@
   // The sender no longer waits for answers to its job requests with lower
   // numbers, which the receiver cancels.
   uint64_t oldest_request = 0;
-  // Tasks under which more than one upstream was lost a moment ago.
+  // Upstreams that were lost under a task, or answer again, a moment ago.
   std::vector<PoolRunFate> run_fates;
   MSGPACK_DEFINE(claims, document_version, sent_us, oldest_request, run_fates);
 };
--- a/tests/platform_adapter_test.cc
+++ b/tests/platform_adapter_test.cc
@@ -113,7 +113,6 @@
   EXPECT_EQ(changes->rows[0].value, "x");
 }
 
-// Guards against a watch that continues after it has missed changes.
 // Guards against a full answer that is taken for all changes.
 TEST_F(PlatformAdapterTest, Watch_AnswerTruncated_SaysSo) {
   Respond("/rows-feed", 200,
@@ -138,6 +137,7 @@
   EXPECT_TRUE(changes->truncated);
 }
 
+// Guards against a watch that continues after it has missed changes.
 TEST_F(PlatformAdapterTest, Watch_HistoryDiscarded_ReportsNotFound) {
   Respond("/rows-feed", 410, "");
   EXPECT_EQ(Watch().second.code, ErrorCode::kNotFound);
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -407,18 +407,26 @@
   EXPECT_THAT(fleet.log.starts_on_leaving, IsEmpty());
 }
 
+class PoolFleetSilenceTest : public testing::Test {
+ protected:
+  // Returns when the store answers again.
+  static void SilenceStore(PoolFleet& fleet, absl::Duration duration) {
+    fleet.loop.RunFor(absl::Seconds(3));
+    fleet.SetStoreUnresponsive(true);
+    fleet.loop.RunFor(duration);
+    fleet.SetStoreUnresponsive(false);
+  }
+};
+
 // Guards against a configuration that is in force too late, since a call that
 // the store never answers is noticed late. Daemons have `kContactTime` after
 // the store answers again.
-TEST(PoolFleetSilenceTest, Configuration_StoreWasSilent_IsInForceInTime) {
+TEST_F(PoolFleetSilenceTest, Configuration_StoreWasSilent_IsInForceInTime) {
   constexpr absl::Duration kContactTime = absl::Seconds(3);
   for (int ms = 2000; ms < 6000; ms += 100) {
     SCOPED_TRACE(absl::StrCat("silent for ", ms, " ms"));
     PoolFleet fleet(1, 1, 1);
-    fleet.loop.RunFor(absl::Seconds(3));
-    fleet.SetStoreUnresponsive(true);
-    fleet.loop.RunFor(absl::Milliseconds(ms));
-    fleet.SetStoreUnresponsive(false);
+    SilenceStore(fleet, absl::Milliseconds(ms));
     fleet.PutConfig(2, {"svc", "other"});
     fleet.loop.RunFor(kContactTime);
     for (const auto& it : fleet.Names()) {
@@ -429,14 +437,11 @@
 
 // Guards against tasks on leaving runners, since a call that the store never
 // answers is noticed late.
-TEST(PoolFleetSilenceTest, Runner_LeavesAsStoreAnswersAgain_GetsNoLateTasks) {
+TEST_F(PoolFleetSilenceTest, Runner_LeavesAsStoreAnswersAgain_GetsNoLateTasks) {
   for (int ms = 2000; ms < 6000; ms += 100) {
     SCOPED_TRACE(absl::StrCat("silent for ", ms, " ms"));
     PoolFleet fleet(1, 1, 1);
-    fleet.loop.RunFor(absl::Seconds(3));
-    fleet.SetStoreUnresponsive(true);
-    fleet.loop.RunFor(absl::Milliseconds(ms));
-    fleet.SetStoreUnresponsive(false);
+    SilenceStore(fleet, absl::Milliseconds(ms));
     fleet.PutRunner("d1r0", "draining");
     for (int i = 0; i < 60; ++i) {
       fleet.Submit("d1n0", 2);
@@ -481,9 +486,7 @@
       fleet.loop.RunFor(absl::Milliseconds(200));
     }
     fleet.loop.RunFor(absl::Seconds(5));
-    for (const auto& [task, starts] : fleet.log.starts_after_three_crashes) {
-      EXPECT_LE(starts, 2) << task << "\n" << fleet.log.TraceOf("job0");
-    }
+    EXPECT_THAT(StartsBeyondBudget(fleet), IsEmpty());
     EXPECT_EQ(fleet.answers[JobStatus::kComplete], 100);
   }
 }
