--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -48,15 +49,22 @@
         self.file.write(f"{self.now():9.3f} {who}: {text}\n")
 
 
+taken_ports = set()
+
+
 def free_ports(count):
-    sockets = []
-    for _ in range(count):
-        it = socket.socket()
-        it.bind(("127.0.0.1", 0))
-        sockets.append(it)
-    ports = [it.getsockname()[1] for it in sockets]
-    for it in sockets:
-        it.close()
+    """Ports below the range that the kernel gives to outgoing connections, so that none takes them meanwhile."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(15000, 30000)
+        with socket.socket() as it:
+            try:
+                it.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in taken_ports:
+            taken_ports.add(port)
+            ports.append(port)
     return ports
 
 
@@ -493,6 +501,8 @@
             status, _ = await request(self.ready, "GET", "/ready", {}, b"", 0.5)
             if status == 200:
                 return
+            if not self.running():
+                raise CannotRun(f"{self.name} has ended: {self.log_text()[-300:]}")
             await asyncio.sleep(0.05)
         raise CannotRun(f"{self.name} is not ready in time")
 
@@ -542,7 +552,7 @@
         self.directory = tempfile.mkdtemp(prefix="review-")
         self.store = Store()
         self.runs = Runs(self.record)
-        self.runners, self.daemons, self.children = [], [], []
+        self.runners, self.daemons = [], []
 
     async def start_platform(self):
         self.store_port = await self.store.http.start()
@@ -600,10 +610,6 @@
     def close(self):
         for it in self.daemons:
             it.kill()
-        for it in self.children:
-            if it.poll() is None:
-                it.kill()
-            it.wait()
         for it in self.daemons:
             last = [line for line in it.log_text().splitlines() if not line.startswith("{")][-12:]
             for line in last:
