Offer a cancelled job to no further pool

Cause: JobStatus::kNotRun means "refused" in an answer of a pool and "cancelled before it ran" in an answer of JobController::Cancel. PoolRouter::OnAnswer took each for a refusal. Related ways in, shown by tests: a DELETE at the entry daemon that also owns the pool, and a DELETE at a third daemon that cancels the job at the owner of the pool. By reading: a job that is given up after crashes while it is queued again.

IsRefusal tells the two apart by the reason of the cancellation, and the router keeps the jobs without a final answer by key, so that a cancellation that crosses a refusal ends the job as well. The client of a cancelled job gets a final answer whether or not a task had run; it got 503 with Retry-After if not.

--- a/include/radishrail/job_answers.h
+++ b/include/radishrail/job_answers.h
@@ -18,6 +18,11 @@
 // Answer to a job that may have been run by another daemon.
 JobAnswer UnknownAnswer(const JobSpec& job, const Error& error);
 
+// True if the job was refused, so that it may be offered to another daemon.
+// False for a job that was cancelled before it ran, with any of the reasons
+// that `JobController::Cancel` is called with.
+bool IsRefusal(const JobAnswer& answer);
+
 }  // namespace radishrail
 
 #endif  // RADISHRAIL_JOB_ANSWERS_H_
--- a/include/radishrail/pool_router.h
+++ b/include/radishrail/pool_router.h
@@ -52,7 +52,10 @@
               AnswerCallback callback);
   // Cancels the job of a caller that disconnected and drops its answer.
   // `end_local` cancels the job if it is not pending at another daemon.
-  void Abandon(std::string_view key, const std::function<void()>& end_local);
+  void Abandon(const std::string& key, const std::function<void()>& end_local);
+  // Ensures that the job is offered to no further pool: the pool that refuses
+  // it next ends it. Returns whether the job has no final answer yet.
+  bool Withdraw(const std::string& key);
   void OnReply(const PoolJobReply& reply);
   void OnPeerDisconnected(const std::string& peer_address);
   // Stores the load of a pool from a claim of its owner. The load is as old as
@@ -78,7 +81,8 @@
     int slots = 0;
     absl::Time deadline;
     std::vector<std::string> tried;
-    AnswerCallback callback;
+    bool withdrawn = false;   // offered to no further pool
+    AnswerCallback callback;  // null: abandoned
   };
   using OfferPointer = std::shared_ptr<Offer>;
 
@@ -105,7 +109,7 @@
   void MakeOffer(const OfferPointer& offer, const PoolClaim& pool);
   void Answer(const OfferPointer& offer, const JobAnswer& answer);
   void Forward(const PoolClaim& owner, const OfferPointer& offer);
-  // Offers a job that did not run to another pool, or answers the caller.
+  // Offers a job that was refused to another pool, or answers the caller.
   void OnAnswer(const OfferPointer& offer, const JobAnswer& answer);
   void Fail(uint64_t request, ErrorCode code, const char* reason);
 
@@ -121,6 +125,8 @@
   DecisionLog& log_;
   uint64_t next_request_;
   std::map<uint64_t, Pending> pending_;
+  // Jobs without a final answer, by key.
+  absl::flat_hash_map<std::string, OfferPointer> open_;
   // Peers at which jobs were given up, and until when they are told so.
   absl::flat_hash_map<std::string, absl::Time> given_up_until_;
   absl::flat_hash_map<std::string, PoolLoad> loads_;
--- a/src/job_answers.cc
+++ b/src/job_answers.cc
@@ -40,4 +40,19 @@
                           TaskErrors::kRepeated);
 }
 
+bool IsRefusal(const JobAnswer& answer) {
+  if (answer.status != JobStatus::kNotRun) {
+    return false;
+  }
+  switch (answer.error.code) {
+    case ErrorCode::kCancelled:
+    case ErrorCode::kConnectionBroken:
+    case ErrorCode::kUpstreamFailed:
+    case ErrorCode::kOutcomeUnknown:
+      return false;
+    default:
+      return true;
+  }
+}
+
 }  // namespace radishrail
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -221,7 +221,9 @@
   void Cancel(const std::string& key, std::function<void(bool)> on_result) {
     PendingCancel cancel;
     cancel.on_result = std::move(on_result);
-    cancel.known = dispatcher_.Cancel(key, ErrorCode::kCancelled);
+    // Withdrawn first: the cancellation of a job in the own pool answers it.
+    const bool withdrawn = router_.Withdraw(key);
+    cancel.known = dispatcher_.Cancel(key, ErrorCode::kCancelled) || withdrawn;
     cancel.deadline = env_.clock.Monotonic() + kCancelWait;
     const uint64_t request = next_cancel_++;
     for (const auto& it : OwnerAddresses()) {
--- a/src/pool_router.cc
+++ b/src/pool_router.cc
@@ -147,6 +147,7 @@
   offer->job = std::move(job);
   offer->document = route.document;
   offer->callback = std::move(callback);
+  open_[offer->job.key] = offer;
   const auto pool = ChoosePool(*offer);
   if (!pool.has_value()) {
     without_owner_.Add();
@@ -185,8 +186,15 @@
 }
 
 void PoolRouter::OnAnswer(const OfferPointer& offer, const JobAnswer& answer) {
+  if (offer->withdrawn && IsRefusal(answer)) {
+    Answer(offer, NotRunAnswer(offer->job,
+                               {ErrorCode::kCancelled, Step::kForward, "",
+                                "the job was cancelled between two offers"},
+                               absl::ZeroDuration(), TaskErrors::kOmitted));
+    return;
+  }
   std::optional<PoolClaim> next_pool;
-  if (answer.status == JobStatus::kNotRun && offer->tried.size() < kMaxOffers) {
+  if (IsRefusal(answer) && offer->tried.size() < kMaxOffers) {
     next_pool = ChoosePool(*offer);
   }
   if (!next_pool.has_value()) {
@@ -198,6 +206,13 @@
 }
 
 void PoolRouter::Answer(const OfferPointer& offer, const JobAnswer& answer) {
+  if (offer->callback == nullptr) {
+    return;
+  }
+  const auto it = open_.find(offer->job.key);
+  if (it != open_.end() && it->second == offer) {
+    open_.erase(it);
+  }
   if (answer.status == JobStatus::kNotRun) {
     log_.Write(Decision::kJobRefused, offer->job.key,
                ErrorCodeName(answer.error.code),
@@ -206,7 +221,7 @@
                 {"retry_after_ms",
                  absl::StrCat(absl::ToInt64Milliseconds(answer.retry_after))}});
   }
-  offer->callback(answer);
+  std::exchange(offer->callback, nullptr)(answer);
 }
 
 void PoolRouter::Forward(const PoolClaim& owner, const OfferPointer& offer) {
@@ -282,15 +297,32 @@
               {"owner", pending.address},
               {"fence", absl::StrCat(pending.fence)},
               {"detail", reason}});
-  pending.offer->callback(answer);
+  Answer(pending.offer, answer);
 }
 
-void PoolRouter::Abandon(std::string_view key,
+bool PoolRouter::Withdraw(const std::string& key) {
+  const auto it = open_.find(key);
+  if (it == open_.end()) {
+    return false;
+  }
+  it->second->withdrawn = true;
+  return true;
+}
+
+void PoolRouter::Abandon(const std::string& key,
                          const std::function<void()>& end_local) {
+  const auto open = open_.find(key);
+  if (open == open_.end()) {
+    return;
+  }
+  const OfferPointer offer = std::move(open->second);
+  open_.erase(open);
+  offer->withdrawn = true;
+  offer->callback = nullptr;
   log_.Write(Decision::kJobAbandoned, key, "the client disconnected");
   for (auto it = pending_.begin(); it != pending_.end(); ++it) {
-    if (it->second.offer->job.key == key) {
-      transport_.Send(it->second.address, PoolJobCancel{0, std::string(key)});
+    if (it->second.offer == offer) {
+      transport_.Send(it->second.address, PoolJobCancel{0, key});
       given_up_until_[it->second.address] =
           clock_.Monotonic() + kGivenUpNoticeTime;
       pending_.erase(it);
--- a/tests/job_answers_test.cc
+++ b/tests/job_answers_test.cc
@@ -14,6 +14,11 @@
     job_.tasks[1].id = "t1";
   }
 
+  JobAnswer NotRun(ErrorCode code) const {
+    return NotRunAnswer(job_, {code, Step::kQueue, "", ""},
+                        absl::ZeroDuration());
+  }
+
   JobSpec job_;
   const Error error_{ErrorCode::kOverloaded, Step::kAdmission, "", "full"};
 };
@@ -50,5 +55,23 @@
   EXPECT_EQ(answer.tasks[0].error.code, ErrorCode::kOverloaded);
 }
 
+// Guards against a job that is offered to another pool after it was cancelled.
+TEST_F(JobAnswersTest, IsRefusal_CancelledOrRun_IsFalse) {
+  for (const auto it :
+       {ErrorCode::kCancelled, ErrorCode::kConnectionBroken,
+        ErrorCode::kUpstreamFailed, ErrorCode::kOutcomeUnknown}) {
+    EXPECT_FALSE(IsRefusal(NotRun(it))) << ErrorCodeName(it);
+  }
+  EXPECT_FALSE(IsRefusal(UnknownAnswer(job_, error_)));
+}
+
+// Guards against a refused job that is not offered to other pools.
+TEST_F(JobAnswersTest, IsRefusal_Refused_IsTrue) {
+  for (const auto it : {ErrorCode::kOverloaded, ErrorCode::kNoOwner,
+                        ErrorCode::kNotReady, ErrorCode::kUnreachable}) {
+    EXPECT_TRUE(IsRefusal(NotRun(it))) << ErrorCodeName(it);
+  }
+}
+
 }  // namespace
 }  // namespace radishrail
--- a/tests/pool_fleet.h
+++ b/tests/pool_fleet.h
@@ -117,6 +117,8 @@
     int submissions = 0;
     bool refused_only = true;
     std::optional<JobStatus> status;
+    Error error;                       // of the last answer
+    std::optional<bool> cancel_found;  // whether a cancellation found the job
     std::string entry;
     absl::Time submitted;  // first submission
     absl::Time answered;
@@ -288,7 +290,8 @@
     ApplyCuts();
   }
 
-  void Submit(const std::string& entry, int tasks) {
+  // Returns the job's key.
+  std::string Submit(const std::string& entry, int tasks) {
     ClientJob job;
     job.key = absl::StrCat("job", next_job_++);
     job.tasks = tasks;
@@ -296,6 +299,25 @@
     const std::string key = job.key;
     jobs[key] = std::move(job);
     SubmitTo(entry, key);
+    return key;
+  }
+
+  // The client of the job disconnects from its entry daemon. It does not submit
+  // the job again.
+  void Disconnect(const std::string& key) {
+    Daemon& daemon = daemons_[jobs[key].entry];
+    log.Note(clock, absl::StrCat(key, " abandoned at ", daemon.name));
+    daemon.pumped->Post([&daemon, key] { daemon.node->Abandon(key); });
+  }
+  // A client asks a daemon to cancel the job.
+  void Cancel(const std::string& name, const std::string& key) {
+    Daemon& daemon = daemons_[name];
+    log.Note(clock, absl::StrCat(key, " cancelled at ", name));
+    daemon.pumped->Post([this, &daemon, key] {
+      daemon.node->Cancel(key, [this, key](bool in_progress) {
+        jobs[key].cancel_found = in_progress;
+      });
+    });
   }
 
   EventLoop loop{clock};
@@ -529,6 +551,7 @@
       log.violations.push_back(absl::StrCat(key, " failed without a cause"));
     }
     job.refused_only = job.refused_only && status == JobStatus::kNotRun;
+    job.error = error;
     log.Note(clock, absl::StrCat(key, " submission ", submission, " at ",
                                  job.entry, ": ", static_cast<int>(status), " ",
                                  error.ToString()));
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -22,6 +22,9 @@
 
 class PoolFleetTest : public testing::Test {
  protected:
+  static constexpr int kRunnersPerDomain = 4;
+  static constexpr int kSlotsPerDomain = 2 * kRunnersPerDomain;
+
   PoolFleetTest() { fleet_.loop.RunFor(absl::Seconds(2)); }
 
   int Answers(JobStatus status) { return fleet_.answers[status]; }
@@ -34,6 +37,25 @@
     }
   }
 
+  // Occupies all runners of the domain for `busy` and submits one more job to
+  // the owner of its pool. Returns the key of that job, which is queued.
+  std::string SubmitToFullPool(const std::string& domain, absl::Duration busy) {
+    for (const auto& it : fleet_.RunnerNames()) {
+      if (it.starts_with(domain)) {
+        fleet_.runners[it]->run_time = busy;
+      }
+    }
+    const std::string owner = fleet_.OwnerOf(domain);
+    for (int i = 0; i < kSlotsPerDomain; ++i) {
+      fleet_.Submit(owner, 1);
+    }
+    fleet_.loop.RunFor(absl::Milliseconds(100));
+    const std::string key = fleet_.Submit(owner, 1);
+    fleet_.loop.RunFor(absl::Milliseconds(20));
+    EXPECT_EQ(fleet_.log.starts[key], 0) << "the job is not queued";
+    return key;
+  }
+
   // Restarts the daemon as a VM of another size.
   void Resize(const std::string& name, uint32_t cpu_millicores) {
     fleet_.Kill(name);
@@ -41,7 +63,7 @@
     fleet_.StartDaemon(name);
   }
 
-  PoolFleet fleet_{1, 2, 4};
+  PoolFleet fleet_{1, 2, kRunnersPerDomain};
 };
 
 // Guards against jobs that do not reach the runners without any faults.
@@ -52,6 +74,41 @@
   EXPECT_THAT(fleet_.log.violations, IsEmpty());
 }
 
+// Guards against a job that runs in another pool after its client disconnected
+// while it was queued: its repetition at another daemon would run beside it.
+TEST_F(PoolFleetTest, Client_DisconnectsFromQueuedJob_JobStartsNowhere) {
+  const std::string key = SubmitToFullPool("d1", absl::Seconds(1));
+  fleet_.Disconnect(key);
+  fleet_.loop.RunFor(absl::Seconds(4));
+  EXPECT_EQ(fleet_.log.starts[key], 0) << fleet_.log.TraceOf(key);
+}
+
+// Guards against a queued job that runs in another pool after its cancellation
+// was confirmed.
+TEST_F(PoolFleetTest, Job_CancelledWhileQueuedInOwnPool_StartsNowhere) {
+  const std::string key = SubmitToFullPool("d1", absl::Seconds(1));
+  fleet_.Cancel(fleet_.OwnerOf("d1"), key);
+  fleet_.loop.RunFor(absl::Seconds(4));
+  EXPECT_EQ(fleet_.jobs[key].cancel_found, true);
+  EXPECT_EQ(fleet_.log.starts[key], 0) << fleet_.log.TraceOf(key);
+  EXPECT_EQ(fleet_.jobs[key].error.code, ErrorCode::kCancelled);
+}
+
+// Guards against the same where the daemon that took the job has handed it to
+// the owner of a pool, and another daemon cancels it there.
+TEST_F(PoolFleetTest, Job_CancelledWhileQueuedAtOtherDaemon_StartsNowhere) {
+  SubmitToFullPool("d1", absl::Seconds(1));
+  const std::string owner = fleet_.OwnerOf("d1");
+  const std::string key = fleet_.Submit(owner == "d1n0" ? "d1n1" : "d1n0", 1);
+  fleet_.loop.RunFor(absl::Milliseconds(20));
+  ASSERT_EQ(fleet_.log.starts[key], 0) << "the job is not queued";
+  fleet_.Cancel("d2n1", key);
+  fleet_.loop.RunFor(absl::Seconds(4));
+  EXPECT_EQ(fleet_.jobs[key].cancel_found, true);
+  EXPECT_EQ(fleet_.log.starts[key], 0) << fleet_.log.TraceOf(key);
+  EXPECT_EQ(fleet_.jobs[key].error.code, ErrorCode::kCancelled);
+}
+
 // Guards against a pool that has no owner after its owner was killed.
 TEST_F(PoolFleetTest, Pools_OwnersKilled_AreClaimedByOtherDaemons) {
   fleet_.Kill("d1n0");
