--- a/include/radishrail/http_server.h
+++ b/include/radishrail/http_server.h
@@ -52,8 +52,9 @@
   void CloseConnection() const;
   // `callback` runs once, on a thread of the server, if the client closes its
   // connection before the request is answered. Requires
-  // `HttpServerSettings::client_check_interval`.
-  void OnClientDisconnect(std::function<void()> callback) const;
+  // `HttpServerSettings::client_check_interval`. Returns false if the client
+  // has closed it already; the callback is not run then.
+  bool OnClientDisconnect(std::function<void()> callback) const;
 
  private:
   std::shared_ptr<Exchange> exchange_;
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -175,9 +175,10 @@
     FinishLocked();
   }
 
-  void OnClientDisconnect(std::function<void()> callback) {
+  bool OnClientDisconnect(std::function<void()> callback) {
     const std::lock_guard lock(mutex_);
     on_client_disconnect_ = std::move(callback);
+    return !client_disconnected_;
   }
 
   // The connection's file descriptor while the request waits for an answer; -1
@@ -201,6 +202,7 @@
         return;
       }
       close_without_response_ = true;
+      client_disconnected_ = true;
       callback = std::move(on_client_disconnect_);
       FinishLocked();
     }
@@ -246,6 +248,7 @@
   bool close_without_response_ = false;
   bool answered_ = false;
   bool suspended_ = false;
+  bool client_disconnected_ = false;
   std::function<void()> on_client_disconnect_;
 };
 
@@ -269,8 +272,8 @@
 
   void Answer(HttpResponse response) { state_->Answer(std::move(response)); }
   void CloseConnection() { state_->CloseConnection(); }
-  void OnClientDisconnect(std::function<void()> callback) {
-    state_->OnClientDisconnect(std::move(callback));
+  bool OnClientDisconnect(std::function<void()> callback) {
+    return state_->OnClientDisconnect(std::move(callback));
   }
 
  private:
@@ -288,8 +291,8 @@
   exchange_->CloseConnection();
 }
 
-void HttpResponder::OnClientDisconnect(std::function<void()> callback) const {
-  exchange_->OnClientDisconnect(std::move(callback));
+bool HttpResponder::OnClientDisconnect(std::function<void()> callback) const {
+  return exchange_->OnClientDisconnect(std::move(callback));
 }
 
 class HttpServer::Impl {
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -300,7 +300,7 @@
   settings_.client_check_interval = absl::Milliseconds(5);
   Event gone;
   Serve([&gone, this](HttpRequest request, HttpResponder respond) {
-    respond.OnClientDisconnect([&gone] { gone.Notify(); });
+    EXPECT_TRUE(respond.OnClientDisconnect([&gone] { gone.Notify(); }));
     const std::lock_guard lock(mutex_);
     deferred_.emplace_back(std::move(request), std::move(respond));
     arrived_.notify_all();
@@ -313,6 +313,21 @@
   gone.Wait();
 }
 
+// Guards against work for a client that disconnected while its request waited
+// for the control thread, which sets the callback.
+TEST_F(HttpTest, Client_DisconnectsBeforeCallbackIsSet_TellsHandler) {
+  settings_.client_check_interval = absl::Milliseconds(5);
+  ServeDeferred();
+  RawConnection connection = RawConnection::To(server_->address());
+  connection.Write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  const HttpResponder respond = WaitForRequest();
+  connection.Close();
+  while (server_->requests_in_progress() > 0) {
+    std::this_thread::yield();
+  }
+  EXPECT_FALSE(respond.OnClientDisconnect([] {}));
+}
+
 // Guards against clients that keep sending requests over open connections until
 // the process exits.
 TEST_F(HttpTest, CloseAfterResponses_NextResponse_ClosesItsConnection) {
