Offer a job to no pool after its deadline

A job that a pool refused after the job's deadline was offered to the next pool with a negative time left, which PoolRouter::Forward converted to 49 days. The caller waited until the next tick of its entry daemon; the owner could start the job until the cancellation arrived.

The refusal is now the answer, and the time left of an offer is never negative. Suspected by the review from reading.

--- a/src/pool_router.cc
+++ b/src/pool_router.cc
@@ -176,7 +176,8 @@
                            clock_.Monotonic() - load.reported))},
        {"config_version", absl::StrCat(offer->document->version)}});
   load.busy += offer->slots;
-  offer->job.deadline = offer->deadline - clock_.Monotonic();
+  offer->job.deadline =
+      std::max(offer->deadline - clock_.Monotonic(), absl::ZeroDuration());
   if (ownership_.OwnedFence(pool.pool) != 0) {
     local_(offer->job, offer->document,
            [this, offer](const JobAnswer& answer) { OnAnswer(offer, answer); });
@@ -194,7 +195,8 @@
     return;
   }
   std::optional<PoolClaim> next_pool;
-  if (IsRefusal(answer) && offer->tried.size() < kMaxOffers) {
+  if (IsRefusal(answer) && offer->tried.size() < kMaxOffers &&
+      clock_.Monotonic() < offer->deadline) {
     next_pool = ChoosePool(*offer);
   }
   if (!next_pool.has_value()) {
--- a/tests/pool_router_test.cc
+++ b/tests/pool_router_test.cc
@@ -28,6 +28,8 @@
 
 class PoolRouterTest : public testing::Test {
  protected:
+  static constexpr absl::Duration kDeadline = absl::Seconds(1);
+
   PoolRouterTest() {
     auto document = std::make_shared<VersionedDocument>();
     document->document.environment = "queue";
@@ -47,10 +49,21 @@
     ownership_.OnClaim(claim, clock_.Monotonic());
     router_.OnClaim(claim);
   }
+  // The owner that got the last message refuses the job.
+  void ReceiveRefusal() {
+    const auto& request =
+        std::get<PoolJobRequest>(transport_.sent.back().second);
+    PoolJobReply reply;
+    reply.request = request.request;
+    reply.key = request.key;
+    reply.status = static_cast<uint32_t>(JobStatus::kNotRun);
+    reply.error = static_cast<uint32_t>(ErrorCode::kOverloaded);
+    router_.OnReply(reply);
+  }
   void Submit() {
     JobSpec job;
     job.key = "job";
-    job.deadline = absl::Seconds(1);
+    job.deadline = kDeadline;
     job.tasks.resize(1);
     router_.Submit(std::move(job), route_,
                    [this](const JobAnswer& answer) { last_ = answer; });
@@ -133,5 +146,34 @@
   EXPECT_EQ(last_->error.code, ErrorCode::kNoOwner);
 }
 
+// Guards against a job that is offered again after its deadline: the time left
+// was negative, and its owner took it for 49 days.
+TEST_F(PoolRouterTest, OnReply_RefusedAfterDeadline_IsNotOfferedAgain) {
+  ReceiveClaim("d1");
+  ReceiveClaim("d2");
+  Submit();
+  ASSERT_EQ(transport_.sent.size(), 1u);
+  clock_.Advance(kDeadline);
+  ReceiveClaim("d2");
+  ReceiveRefusal();
+  EXPECT_EQ(transport_.sent.size(), 1u);
+  ASSERT_TRUE(last_.has_value());
+  EXPECT_EQ(last_->status, JobStatus::kNotRun);
+}
+
+// Guards against an answer that is lost, or a second offer, when a job is
+// cancelled between its refusal by one pool and the offer to the next.
+TEST_F(PoolRouterTest, Withdraw_RefusalCrosses_IsNotOfferedAgain) {
+  ReceiveClaim("d1");
+  ReceiveClaim("d2");
+  Submit();
+  EXPECT_TRUE(router_.Withdraw("job"));
+  ReceiveRefusal();
+  EXPECT_EQ(transport_.sent.size(), 1u);
+  ASSERT_TRUE(last_.has_value());
+  EXPECT_EQ(last_->error.code, ErrorCode::kCancelled);
+  EXPECT_FALSE(router_.Withdraw("job"));
+}
+
 }  // namespace
 }  // namespace radishrail
