Answer a queued job that is given up as failed

A job whose tasks had crashed upstreams under an earlier submission was answered as not run if it was given up while it was queued again. The entry daemon took that for a refusal and offered the job to the next pool, whose upstreams it could crash as well.

Evidence: JobControllerTest.Cancel_UpstreamsLostUnderQueuedJob_IsFailed failed before and passes; 36 of 36 in JobControllerTest, 78 of 78 in PoolFleetTest. The known red crashing_jobs_owner_loss_test still fails.

--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -720,6 +720,13 @@
     jobs_.erase(job.number);
   }
 
+  // A job that is ended since upstreams were lost under it may have run before,
+  // under an earlier submission.
+  static bool MayHaveRun(const Job& job) {
+    return job.dispatched || job.error.code == ErrorCode::kUpstreamFailed ||
+           job.error.code == ErrorCode::kOutcomeUnknown;
+  }
+
   JobAnswer MakeAnswer(Job& job) {
     JobAnswer answer;
     answer.key = job.spec.key;
@@ -728,7 +735,7 @@
     if (job.done == job.tasks.size()) {
       answer.status = JobStatus::kComplete;
     } else {
-      answer.status = job.dispatched ? JobStatus::kFailed : JobStatus::kNotRun;
+      answer.status = MayHaveRun(job) ? JobStatus::kFailed : JobStatus::kNotRun;
       answer.error = job.error;
     }
     if (answer.status == JobStatus::kNotRun && !job.cancelled) {
--- a/tests/job_controller_test.cc
+++ b/tests/job_controller_test.cc
@@ -388,6 +388,17 @@
   EXPECT_FALSE(jobs_.Cancel("other"));
 }
 
+// Guards against a job that is offered to another pool as refused although its
+// tasks crashed upstreams under an earlier submission.
+TEST_F(JobControllerTest, Cancel_UpstreamsLostUnderQueuedJob_IsFailed) {
+  Submit(TestJob("a", 1));
+  Submit(TestJob("b", 1));
+  EXPECT_TRUE(jobs_.Cancel("a", ErrorCode::kUpstreamFailed));
+  EXPECT_TRUE(jobs_.Cancel("b", ErrorCode::kOutcomeUnknown));
+  EXPECT_EQ(answers_[0]->status, JobStatus::kFailed);
+  EXPECT_EQ(answers_[1]->status, JobStatus::kFailed);
+}
+
 TEST_F(JobControllerTest, Cancel_WithTasksInProgress_AwaitsThem) {
   Submit(TestJob("k", 17));
   jobs_.Tick();
