Run no job whose cancellation arrived before it

A cancellation goes to the owners of all pools at once. A job that was on its way from one pool to the next just then was found nowhere, ran to its end, and its client was told that there was no such job. It needs a DELETE at another daemon than the one that took the job, which has withdrawn it otherwise.

PoolDispatcher remembers the keys that callers cancelled for 60 s, at most 50,000 of them, and answers a later submission as cancelled. Jobs that are cancelled for other reasons, such as a lost client, may be submitted again.

Evidence: PoolFleetTest.Job_CancellationArrivesFirst_StartsNowhere failed before (the job completed) and passes; 79 of 79 in PoolFleetTest.

--- a/include/radishrail/pool_dispatcher.h
+++ b/include/radishrail/pool_dispatcher.h
@@ -4,12 +4,12 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "absl/time/time.h"
 #include "radishrail/clock.h"
 #include "radishrail/crash_table.h"
+#include "radishrail/expiring_key_set.h"
 #include "radishrail/job_controller.h"
 #include "radishrail/leased_upstream_client.h"
 #include "radishrail/metrics.h"
@@ -42,7 +42,9 @@
   void Submit(JobSpec job,
               std::shared_ptr<const VersionedDocument> document,
               JobController::AnswerCallback callback);
-  bool Cancel(std::string_view key, ErrorCode reason);
+  // Cancels a job. If its caller requested that, a submission that arrives
+  // later is not run either. Returns false if the job is not in progress.
+  bool Cancel(const std::string& key, ErrorCode reason);
 
   // Runs what is due; returns the time of the next call. If the last call is
   // too long ago, the process was paused and no task is started until the next
@@ -87,6 +89,7 @@
   std::unique_ptr<Scheduler> scheduler_;
   UpstreamRegistry registry_;
   CrashTable crashes_;
+  ExpiringKeySet cancelled_;
   // Keys of jobs whose verdict may have changed.
   std::vector<std::string> affected_jobs_;
   Counter& given_up_;
--- a/src/pool_dispatcher.cc
+++ b/src/pool_dispatcher.cc
@@ -21,6 +21,9 @@
 constexpr int kProbationSlots = 40;
 constexpr int kEjectionFailures = 3;
 constexpr absl::Duration kEjectionTime = absl::Seconds(3);
+// Longer than clients repeat a job and daemons offer it.
+constexpr absl::Duration kCancelledKeyRetention = absl::Seconds(60);
+constexpr size_t kMaxCancelledKeys = 50000;
 
 UpstreamSettings MakeUpstreamSettings(const std::string& failure_domain) {
   UpstreamSettings settings;
@@ -87,6 +90,7 @@
       scheduler_(std::move(scheduler)),
       registry_(MakeUpstreamSettings(failure_domain), clock),
       crashes_(clock),
+      cancelled_(clock, kCancelledKeyRetention, kMaxCancelledKeys),
       given_up_(metrics.counter(
           "radishrail_pool_jobs_given_up_total",
           "Submissions of jobs under whose tasks runners were lost")),
@@ -151,6 +155,13 @@
 void PoolDispatcher::Submit(JobSpec job,
                             std::shared_ptr<const VersionedDocument> document,
                             JobController::AnswerCallback callback) {
+  if (cancelled_.Contains(job.key)) {
+    callback(NotRunAnswer(job,
+                          {ErrorCode::kCancelled, Step::kQueue, "",
+                           "the caller cancelled the job before"},
+                          absl::ZeroDuration(), TaskErrors::kOmitted));
+    return;
+  }
   const CrashVerdict verdict = crashes_.Judge(job.key);
   if (verdict != CrashVerdict::kRun) {
     given_up_.Add();
@@ -161,7 +172,11 @@
   PlaceTasks();
 }
 
-bool PoolDispatcher::Cancel(std::string_view key, ErrorCode reason) {
+bool PoolDispatcher::Cancel(const std::string& key, ErrorCode reason) {
+  // Jobs that are cancelled for other reasons may be submitted again.
+  if (reason == ErrorCode::kCancelled) {
+    cancelled_.Add(key);
+  }
   return jobs_.Cancel(key, reason);
 }
 
@@ -194,6 +209,7 @@
   last_tick_ = clock_.Monotonic();
   absl::Time due = client_.Tick();
   crashes_.Tick();
+  cancelled_.RemoveExpired();
   EndAffectedJobs();
   registry_.Tick();
   if (list_changed_) {
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -109,6 +109,19 @@
   EXPECT_EQ(fleet_.jobs[key].error.code, ErrorCode::kCancelled);
 }
 
+// Guards against a job that starts although its cancellation was answered: the
+// cancellation had reached the pools before the job, which was then on its way
+// from one pool to the next.
+TEST_F(PoolFleetTest, Job_CancellationArrivesFirst_StartsNowhere) {
+  const std::string key = "job0";  // that of the first job
+  fleet_.Cancel("d2n1", key);
+  fleet_.loop.RunFor(absl::Seconds(1));
+  ASSERT_EQ(fleet_.Submit("d1n1", 2), key);
+  fleet_.loop.RunFor(absl::Seconds(4));
+  EXPECT_EQ(fleet_.log.starts[key], 0) << fleet_.log.TraceOf(key);
+  EXPECT_EQ(fleet_.jobs[key].error.code, ErrorCode::kCancelled);
+}
+
 // Guards against a pool that has no owner after its owner was killed.
 TEST_F(PoolFleetTest, Pools_OwnersKilled_AreClaimedByOtherDaemons) {
   fleet_.Kill("d1n0");
