Join a second submission to the job in progress

A client whose connection broke sends its job again, maybe to the same daemon before that has noticed. The entry daemon offered it anew, and if it preferred another pool by then, both ran at the same time. If it chose the same pool, the late notice of the first connection cancelled the run that the second one waited for, and its caller got 502.

PoolRouter keeps the callers of each job without a final answer. A submission joins such a job; a lost client takes only its own submission back, and the job is cancelled when no caller is left. Abandon therefore takes the number of a submission in place of the key. New line in the log: job_joined.

Evidence: PoolFleetTest.Job_SubmittedAgainToItsDaemon_RunsOnce failed before (two runs on d1r0 and d2r0) and passes, as does Job_FirstOfTwoClientsDisconnects_Completes, which is new with the interface; 81 of 81 in PoolFleetTest, 6 of 6 in PoolRouterTest.

--- a/include/radishrail/decision_log.h
+++ b/include/radishrail/decision_log.h
@@ -19,6 +19,7 @@
 enum class Decision {
   kJobOffered,
   kJobOfferedAgain,
+  kJobJoined,
   kJobRefused,
   kJobUnknown,
   kJobAbandoned,
--- a/include/radishrail/pool_node.h
+++ b/include/radishrail/pool_node.h
@@ -88,11 +88,14 @@
                                   std::string_view path) const;
   // False until a configuration has been loaded.
   bool has_documents() const;
-  void Submit(JobSpec job,
-              const RoutedDocument& route,
-              AnswerCallback callback);
-  // Cancels a job in progress whose caller disconnected; drops its answer.
-  void Abandon(const std::string& key);
+  // A submission of a job in progress joins it. Returns the number of the
+  // submission; zero if it was refused at once.
+  uint64_t Submit(JobSpec job,
+                  const RoutedDocument& route,
+                  AnswerCallback callback);
+  // Drops the answer to a caller that disconnected. Cancels the job if no other
+  // caller waits for it.
+  void Abandon(uint64_t submission);
   // Cancels a job on this daemon and on all owners of pools. `on_result`
   // receives whether the job was in progress.
   void Cancel(const std::string& key,
--- a/include/radishrail/pool_router.h
+++ b/include/radishrail/pool_router.h
@@ -36,23 +36,28 @@
       std::function<void(JobSpec job,
                          std::shared_ptr<const VersionedDocument> document,
                          AnswerCallback callback)>;
+  // Cancels a job that was dispatched by `LocalSubmit`.
+  using LocalCancel = std::function<void(const std::string& key)>;
 
   PoolRouter(std::string failure_domain,
              uint64_t first_request,
              const Clock& clock,
              PeerTransport& transport,
              const PoolOwnership& ownership,
-             LocalSubmit local,
+             LocalSubmit submit_local,
+             LocalCancel cancel_local,
              Metrics& metrics,
              DecisionLog& log);
 
-  // `callback` runs exactly once, unless the job is abandoned before.
-  void Submit(JobSpec job,
-              const RoutedDocument& route,
-              AnswerCallback callback);
-  // Cancels the job of a caller that disconnected and drops its answer.
-  // `end_local` cancels the job if it is not pending at another daemon.
-  void Abandon(const std::string& key, const std::function<void()>& end_local);
+  // `callback` runs exactly once, unless the submission is abandoned before. A
+  // submission of a job that has no final answer yet joins it. Returns the
+  // number of the submission.
+  uint64_t Submit(JobSpec job,
+                  const RoutedDocument& route,
+                  AnswerCallback callback);
+  // Drops the answer to a caller that disconnected, and cancels the job if no
+  // other caller waits for it.
+  void Abandon(uint64_t submission);
   // Ensures that the job is offered to no further pool: the pool that refuses
   // it next ends it. Returns whether the job has no final answer yet.
   bool Withdraw(const std::string& key);
@@ -81,8 +86,10 @@
     int slots = 0;
     absl::Time deadline;
     std::vector<std::string> tried;
-    bool withdrawn = false;   // offered to no further pool
-    AnswerCallback callback;  // null: abandoned
+    bool withdrawn = false;  // offered to no further pool
+    // Callers that wait for the answer, by number of their submission. Empty
+    // once the job has its final answer or is abandoned.
+    std::map<uint64_t, AnswerCallback> callers;
   };
   using OfferPointer = std::shared_ptr<Offer>;
 
@@ -112,12 +119,15 @@
   // Offers a job that was refused to another pool, or answers the caller.
   void OnAnswer(const OfferPointer& offer, const JobAnswer& answer);
   void Fail(uint64_t request, ErrorCode code, const char* reason);
+  // Cancels a job that no caller waits for.
+  void CancelAbandoned(const OfferPointer& offer);
 
   const std::string failure_domain_;
   const Clock& clock_;
   PeerTransport& transport_;
   const PoolOwnership& ownership_;
-  const LocalSubmit local_;
+  const LocalSubmit submit_local_;
+  const LocalCancel cancel_local_;
   Counter& forwarded_;
   Counter& unknown_;
   Counter& without_owner_;
@@ -127,6 +137,8 @@
   std::map<uint64_t, Pending> pending_;
   // Jobs without a final answer, by key.
   absl::flat_hash_map<std::string, OfferPointer> open_;
+  absl::flat_hash_map<uint64_t, OfferPointer> submissions_;
+  uint64_t next_submission_ = 1;
   // Peers at which jobs were given up, and until when they are told so.
   absl::flat_hash_map<std::string, absl::Time> given_up_until_;
   absl::flat_hash_map<std::string, PoolLoad> loads_;
--- a/src/decision_log.cc
+++ b/src/decision_log.cc
@@ -12,10 +12,10 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 9> kDecisionNames = {
-    "job_offered",      "job_offered_again", "job_refused",
-    "job_unknown",      "job_abandoned",     "job_admitted",
-    "job_not_admitted", "job_ended",         "job_history"};
+constexpr std::array<std::string_view, 10> kDecisionNames = {
+    "job_offered", "job_offered_again", "job_joined",   "job_refused",
+    "job_unknown", "job_abandoned",     "job_admitted", "job_not_admitted",
+    "job_ended",   "job_history"};
 
 }  // namespace
 
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -135,6 +135,9 @@
               Dispatch("this daemon", std::move(job), std::move(document),
                        std::move(callback));
             },
+            [this](const std::string& key) {
+              dispatcher_.Cancel(key, ErrorCode::kConnectionBroken);
+            },
             env.metrics,
             log_),
         runner_watcher_(codec_.runner_prefix,
@@ -200,23 +203,20 @@
   }
   bool has_documents() const { return documents_.has_value(); }
 
-  void Submit(JobSpec job,
-              const RoutedDocument& route,
-              AnswerCallback callback) {
+  uint64_t Submit(JobSpec job,
+                  const RoutedDocument& route,
+                  AnswerCallback callback) {
     if (handing_over_) {
       callback(NotRunAnswer(job,
                             {ErrorCode::kDraining, Step::kDrain, "",
                              "the daemon is shutting down"},
                             kDrainRetry, TaskErrors::kOmitted));
-      return;
+      return 0;
     }
-    router_.Submit(std::move(job), route, std::move(callback));
+    return router_.Submit(std::move(job), route, std::move(callback));
   }
 
-  void Abandon(const std::string& key) {
-    router_.Abandon(
-        key, [&] { dispatcher_.Cancel(key, ErrorCode::kConnectionBroken); });
-  }
+  void Abandon(uint64_t submission) { router_.Abandon(submission); }
 
   void Cancel(const std::string& key, std::function<void(bool)> on_result) {
     PendingCancel cancel;
@@ -964,13 +964,13 @@
 bool PoolNode::has_documents() const {
   return impl_->has_documents();
 }
-void PoolNode::Submit(JobSpec job,
-                      const RoutedDocument& route,
-                      AnswerCallback callback) {
-  impl_->Submit(std::move(job), route, std::move(callback));
+uint64_t PoolNode::Submit(JobSpec job,
+                          const RoutedDocument& route,
+                          AnswerCallback callback) {
+  return impl_->Submit(std::move(job), route, std::move(callback));
 }
-void PoolNode::Abandon(const std::string& key) {
-  impl_->Abandon(key);
+void PoolNode::Abandon(uint64_t submission) {
+  impl_->Abandon(submission);
 }
 void PoolNode::Cancel(const std::string& key,
                       std::function<void(bool in_progress)> on_result) {
--- a/src/pool_router.cc
+++ b/src/pool_router.cc
@@ -62,14 +62,16 @@
                        const Clock& clock,
                        PeerTransport& transport,
                        const PoolOwnership& ownership,
-                       LocalSubmit local,
+                       LocalSubmit submit_local,
+                       LocalCancel cancel_local,
                        Metrics& metrics,
                        DecisionLog& log)
     : failure_domain_(std::move(failure_domain)),
       clock_(clock),
       transport_(transport),
       ownership_(ownership),
-      local_(std::move(local)),
+      submit_local_(std::move(submit_local)),
+      cancel_local_(std::move(cancel_local)),
       forwarded_(metrics.counter("radishrail_pool_jobs_forwarded_total",
                                  "Jobs handed to the owner of a pool")),
       unknown_(metrics.counter("radishrail_pool_jobs_unknown_total",
@@ -127,9 +129,17 @@
              : age;
 }
 
-void PoolRouter::Submit(JobSpec job,
-                        const RoutedDocument& route,
-                        AnswerCallback callback) {
+uint64_t PoolRouter::Submit(JobSpec job,
+                            const RoutedDocument& route,
+                            AnswerCallback callback) {
+  const uint64_t submission = next_submission_++;
+  const auto open = open_.find(job.key);
+  if (open != open_.end()) {
+    log_.Write(Decision::kJobJoined, job.key, "in progress", {});
+    open->second->callers[submission] = std::move(callback);
+    submissions_[submission] = open->second;
+    return submission;
+  }
   absl::Duration longest = absl::ZeroDuration();
   for (const auto& it : job.tasks) {
     longest = std::max(longest, it.declared_run);
@@ -146,7 +156,8 @@
   offer->deadline = clock_.Monotonic() + job.deadline;
   offer->job = std::move(job);
   offer->document = route.document;
-  offer->callback = std::move(callback);
+  offer->callers[submission] = std::move(callback);
+  submissions_[submission] = offer;
   open_[offer->job.key] = offer;
   const auto pool = ChoosePool(*offer);
   if (!pool.has_value()) {
@@ -155,9 +166,10 @@
                                {ErrorCode::kNoOwner, Step::kOwnership, "",
                                 "no pool has a live owner that accepts jobs"},
                                kNoOwnerRetry, TaskErrors::kOmitted));
-    return;
+    return submission;
   }
   MakeOffer(offer, *pool);
+  return submission;
 }
 
 void PoolRouter::MakeOffer(const OfferPointer& offer, const PoolClaim& pool) {
@@ -179,8 +191,9 @@
   offer->job.deadline =
       std::max(offer->deadline - clock_.Monotonic(), absl::ZeroDuration());
   if (ownership_.OwnedFence(pool.pool) != 0) {
-    local_(offer->job, offer->document,
-           [this, offer](const JobAnswer& answer) { OnAnswer(offer, answer); });
+    submit_local_(
+        offer->job, offer->document,
+        [this, offer](const JobAnswer& answer) { OnAnswer(offer, answer); });
     return;
   }
   Forward(pool, offer);
@@ -208,7 +221,7 @@
 }
 
 void PoolRouter::Answer(const OfferPointer& offer, const JobAnswer& answer) {
-  if (offer->callback == nullptr) {
+  if (offer->callers.empty()) {
     return;
   }
   const auto it = open_.find(offer->job.key);
@@ -223,7 +236,10 @@
                 {"retry_after_ms",
                  absl::StrCat(absl::ToInt64Milliseconds(answer.retry_after))}});
   }
-  std::exchange(offer->callback, nullptr)(answer);
+  for (const auto& [submission, callback] : std::exchange(offer->callers, {})) {
+    submissions_.erase(submission);
+    callback(answer);
+  }
 }
 
 void PoolRouter::Forward(const PoolClaim& owner, const OfferPointer& offer) {
@@ -311,27 +327,34 @@
   return true;
 }
 
-void PoolRouter::Abandon(const std::string& key,
-                         const std::function<void()>& end_local) {
-  const auto open = open_.find(key);
-  if (open == open_.end()) {
+void PoolRouter::Abandon(uint64_t submission) {
+  const auto it = submissions_.find(submission);
+  if (it == submissions_.end()) {
     return;
   }
-  const OfferPointer offer = std::move(open->second);
-  open_.erase(open);
-  offer->withdrawn = true;
-  offer->callback = nullptr;
+  const OfferPointer offer = std::move(it->second);
+  submissions_.erase(it);
+  offer->callers.erase(submission);
+  if (offer->callers.empty()) {
+    CancelAbandoned(offer);
+  }
+}
+
+void PoolRouter::CancelAbandoned(const OfferPointer& offer) {
+  const std::string& key = offer->job.key;
   log_.Write(Decision::kJobAbandoned, key, "the client disconnected");
-  for (auto it = pending_.begin(); it != pending_.end(); ++it) {
-    if (it->second.offer == offer) {
-      transport_.Send(it->second.address, PoolJobCancel{0, key});
-      given_up_until_[it->second.address] =
-          clock_.Monotonic() + kGivenUpNoticeTime;
-      pending_.erase(it);
-      return;
-    }
+  offer->withdrawn = true;
+  open_.erase(key);
+  const auto it =
+      std::find_if(pending_.begin(), pending_.end(),
+                   [&](const auto& it) { return it.second.offer == offer; });
+  if (it == pending_.end()) {
+    cancel_local_(key);
+    return;
   }
-  end_local();
+  transport_.Send(it->second.address, PoolJobCancel{0, key});
+  given_up_until_[it->second.address] = clock_.Monotonic() + kGivenUpNoticeTime;
+  pending_.erase(it);
 }
 
 void PoolRouter::OnPeerDisconnected(const std::string& peer_address) {
--- a/tests/pool_fleet.h
+++ b/tests/pool_fleet.h
@@ -115,6 +115,7 @@
     std::string key;
     int tasks = 0;
     int submissions = 0;
+    uint64_t submission = 0;  // number of the last one at its entry daemon
     bool refused_only = true;
     std::optional<JobStatus> status;
     Error error;                       // of the last answer
@@ -302,12 +303,18 @@
     return key;
   }
 
+  // The client submits a job again before the former submission is answered.
+  void Repeat(const std::string& entry, const std::string& key) {
+    SubmitTo(entry, key);
+  }
   // The client of the job disconnects from its entry daemon. It does not submit
   // the job again.
   void Disconnect(const std::string& key) {
     Daemon& daemon = daemons_[jobs[key].entry];
     log.Note(clock, absl::StrCat(key, " abandoned at ", daemon.name));
-    daemon.pumped->Post([&daemon, key] { daemon.node->Abandon(key); });
+    daemon.pumped->Post([&daemon, submission = jobs[key].submission] {
+      daemon.node->Abandon(submission);
+    });
   }
   // A client asks a daemon to cancel the job.
   void Cancel(const std::string& name, const std::string& key) {
@@ -510,11 +517,11 @@
         task.restartable = true;
         spec.tasks.push_back(task);
       }
-      daemon.node->Submit(std::move(spec), *route,
-                          [this, key, submission](const JobAnswer& answer) {
-                            OnAnswer(key, submission, answer.status,
-                                     answer.error);
-                          });
+      jobs[key].submission = daemon.node->Submit(
+          std::move(spec), *route,
+          [this, key, submission](const JobAnswer& answer) {
+            OnAnswer(key, submission, answer.status, answer.error);
+          });
     });
   }
 
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -23,7 +23,6 @@
 class PoolFleetTest : public testing::Test {
  protected:
   static constexpr int kRunnersPerDomain = 4;
-  static constexpr int kSlotsPerDomain = 2 * kRunnersPerDomain;
 
   PoolFleetTest() { fleet_.loop.RunFor(absl::Seconds(2)); }
 
@@ -40,13 +39,16 @@
   // Occupies all runners of the domain for `busy` and submits one more job to
   // the owner of its pool. Returns the key of that job, which is queued.
   std::string SubmitToFullPool(const std::string& domain, absl::Duration busy) {
+    size_t free_slots = 0;
     for (const auto& it : fleet_.RunnerNames()) {
       if (it.starts_with(domain)) {
-        fleet_.runners[it]->run_time = busy;
+        FakeRunner& runner = *fleet_.runners[it];
+        runner.run_time = busy;
+        free_slots += runner.capacity - runner.runs();
       }
     }
     const std::string owner = fleet_.OwnerOf(domain);
-    for (int i = 0; i < kSlotsPerDomain; ++i) {
+    for (size_t i = 0; i < free_slots; ++i) {
       fleet_.Submit(owner, 1);
     }
     fleet_.loop.RunFor(absl::Milliseconds(100));
@@ -109,6 +111,35 @@
   EXPECT_EQ(fleet_.jobs[key].error.code, ErrorCode::kCancelled);
 }
 
+// Guards against two runs of a task at a time after a client has submitted its
+// job again to the same daemon, which prefers another pool by now.
+TEST_F(PoolFleetTest, Job_SubmittedAgainToItsDaemon_RunsOnce) {
+  const std::string owner = fleet_.OwnerOf("d1");
+  for (const auto& it : fleet_.RunnerNames()) {
+    fleet_.runners[it]->run_time = absl::Seconds(1);
+  }
+  const std::string key = fleet_.Submit(owner, 1);
+  fleet_.loop.RunFor(absl::Milliseconds(100));
+  SubmitToFullPool("d1", absl::Seconds(1));
+  fleet_.Repeat(owner, key);
+  fleet_.loop.RunFor(absl::Seconds(4));
+  EXPECT_THAT(fleet_.log.violations, IsEmpty()) << fleet_.log.TraceOf(key);
+  EXPECT_EQ(fleet_.jobs[key].status, JobStatus::kComplete);
+}
+
+// Guards against a failed answer to the repetition of a job when the broken
+// connection of the first submission is noticed late.
+TEST_F(PoolFleetTest, Job_FirstOfTwoClientsDisconnects_Completes) {
+  const std::string key = SubmitToFullPool("d1", absl::Milliseconds(500));
+  const uint64_t first = fleet_.jobs[key].submission;
+  fleet_.Repeat(fleet_.OwnerOf("d1"), key);
+  fleet_.loop.RunFor(absl::Milliseconds(1));
+  fleet_.daemon(fleet_.OwnerOf("d1")).node->Abandon(first);
+  fleet_.loop.RunFor(absl::Seconds(4));
+  EXPECT_EQ(fleet_.jobs[key].status, JobStatus::kComplete);
+  EXPECT_EQ(fleet_.log.starts[key], 1) << fleet_.log.TraceOf(key);
+}
+
 // Guards against a job that starts although its cancellation was answered: the
 // cancellation had reached the pools before the job, which was then on its way
 // from one pool to the next.
--- a/tests/pool_router_test.cc
+++ b/tests/pool_router_test.cc
@@ -62,7 +62,9 @@
   }
   void Submit() {
     JobSpec job;
-    job.key = "job";
+    // A submission of a job in progress would join it.
+    last_key_ = absl::StrCat("job", next_job_++);
+    job.key = last_key_;
     job.deadline = kDeadline;
     job.tasks.resize(1);
     router_.Submit(std::move(job), route_,
@@ -87,11 +89,14 @@
                      [](const JobSpec&,
                         const std::shared_ptr<const VersionedDocument>&,
                         const PoolRouter::AnswerCallback&) {},
+                     [](const std::string&) {},
                      metrics_,
                      log_};
   RoutedDocument route_;
   uint64_t fence_ = 0;
   std::optional<JobAnswer> last_;
+  std::string last_key_;
+  int next_job_ = 0;
 };
 
 // Guards against a crash when the owner's timeout expires between the choice of
@@ -167,12 +172,12 @@
   ReceiveClaim("d1");
   ReceiveClaim("d2");
   Submit();
-  EXPECT_TRUE(router_.Withdraw("job"));
+  EXPECT_TRUE(router_.Withdraw(last_key_));
   ReceiveRefusal();
   EXPECT_EQ(transport_.sent.size(), 1u);
   ASSERT_TRUE(last_.has_value());
   EXPECT_EQ(last_->error.code, ErrorCode::kCancelled);
-  EXPECT_FALSE(router_.Withdraw("job"));
+  EXPECT_FALSE(router_.Withdraw(last_key_));
 }
 
 }  // namespace
