Track only connected sockets of the HTTP client

A socket is added when its connection is ready for the first request, from where on curl reports its close. One map replaces the two, so a number that is used again has one host.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -67,6 +67,9 @@
   Host* host = nullptr;
   CURL* easy = nullptr;
   curl_slist* headers = nullptr;
+  // Socket of a connection attempt for this request that is not yet in the
+  // socket table; -1 if there is none.
+  int new_socket = -1;
   std::array<char, CURL_ERROR_SIZE> error_text = {};
 };
 
@@ -86,6 +89,13 @@
                     int /*remote_port*/,
                     int /*local_port*/) {
   auto* transfer = static_cast<Transfer*>(context);
+  // curl reports the close of a socket only if it was connected: that of an
+  // attempt that fails is closed without a notice, and its number is used for
+  // something else.
+  const int new_socket = std::exchange(transfer->new_socket, -1);
+  if (new_socket >= 0) {
+    transfer->sockets->Add(new_socket, transfer->request.address);
+  }
   if (transfer->result.may_have_been_sent) {
     return CURL_PREREQFUNC_ABORT;
   }
@@ -374,13 +384,12 @@
 curl_socket_t HttpClient::Impl::OnOpenSocket(void* transfer,
                                              curlsocktype /*purpose*/,
                                              curl_sockaddr* address) {
-  const auto* opener = static_cast<Transfer*>(transfer);
   const int fd = socket(address->family, address->socktype | SOCK_CLOEXEC,
                         address->protocol);
   if (fd < 0) {
     return CURL_SOCKET_BAD;
   }
-  opener->sockets->Add(fd, opener->request.address);
+  static_cast<Transfer*>(transfer)->new_socket = fd;
   return fd;
 }
 
--- a/src/socket_table.h
+++ b/src/socket_table.h
@@ -2,16 +2,18 @@
 #define RADISHRAIL_SRC_SOCKET_TABLE_H_
 
 #include <cstddef>
-#include <set>
 #include <string>
 
 #include "absl/container/flat_hash_map.h"
 
 namespace radishrail::internal {
 
-// The sockets of a client's connections, by host. Does not own them.
+// The sockets of a client's connections and their hosts. Does not own them. One
+// map only, so that a number that was used again has one host.
 class SocketTable {
  public:
+  // Adds a connected socket. A former entry of its number is of a socket that
+  // was closed.
   void Add(int socket, const std::string& host);
   void Remove(int socket);
   // Whether a request uses the socket.
@@ -27,7 +29,6 @@
   };
 
   absl::flat_hash_map<int, Entry> sockets_;
-  absl::flat_hash_map<std::string, std::set<int>> sockets_of_host_;
 };
 
 }  // namespace radishrail::internal
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -1,3 +1,7 @@
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -461,6 +465,67 @@
   EXPECT_FALSE(listener_.TryAccept().has_value());
 }
 
+// A connection attempt to a host has timed out; curl has closed its socket
+// without a notice. The host has one idle connection.
+class HttpReusedDescriptorTest : public HttpIdleConnectionsTest {
+ protected:
+  HttpReusedDescriptorTest() {
+    Connect(absl::ZeroDuration());
+    listener_.LetConnectionsHang();
+    std::vector<Pending<HttpResult>> unanswered;
+    for (auto& it : connections_) {
+      unanswered.push_back(SendAsync(*client_, request_));
+      it.ReadUntil("body");
+    }
+    closed_descriptor_ = LowestFreeDescriptor();
+    HttpClientRequest request = request_;
+    request.timeout = absl::Milliseconds(50);
+    EXPECT_FALSE(Send(request).may_have_been_sent);
+    connections_[0].Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    while (!unanswered[0].ready() && !unanswered[1].ready()) {
+      std::this_thread::yield();
+    }
+  }
+
+  static int LowestFreeDescriptor() {
+    const internal::FileDescriptor fd(dup(STDERR_FILENO));
+    return fd.get();
+  }
+
+  RawListener other_;
+  int closed_descriptor_ = -1;
+};
+
+// Guards against the shutdown of a connection that is not the client's: its
+// descriptor has the number of a socket that curl has closed.
+TEST_F(HttpReusedDescriptorTest, Client_HostBecomesSilent_SparesOthers) {
+  std::array<int, 2> fds = {};
+  ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds.data()), 0);
+  const internal::FileDescriptor own(fds[0]);
+  const internal::FileDescriptor peer(fds[1]);
+  ASSERT_EQ(own.get(), closed_descriptor_);
+  SendUnanswered(request_);
+  char byte = 0;
+  EXPECT_NE(recv(peer.get(), &byte, 1, 0), 0) << "the connection was shut down";
+}
+
+// Guards against a process that ends with std::out_of_range in the client's
+// thread: the number was used for a connection to another host.
+TEST_F(HttpReusedDescriptorTest, Client_HostBecomesSilent_ServesOtherHosts) {
+  const auto send_and_break = [this] {
+    HttpClientRequest request = request_;
+    request.address = other_.address();
+    auto pending = SendAsync(*client_, request);
+    RawConnection connection = other_.Accept();
+    connection.ReadUntil("body");
+    connection.Close();
+    EXPECT_EQ(pending.Wait().error.code, ErrorCode::kConnectionBroken);
+  };
+  send_and_break();
+  SendUnanswered(request_);
+  send_and_break();
+}
+
 TEST_F(HttpTest, Client_MayNotStart_SendsNothing) {
   RawListener listener;
   HttpClientRequest request = Request("POST", "body");
--- a/tests/socket_table_test.cc
+++ b/tests/socket_table_test.cc
@@ -61,5 +61,19 @@
   EXPECT_FALSE(closed.IsShutDown());
 }
 
+// Guards against an exception when the number of a socket that was closed
+// without a notice was used for a connection to another host.
+TEST_F(SocketTableTest, ShutDownIdle_NumberWasReused_SparesIt) {
+  const Connection reused;
+  table_.Add(reused.own.get(), "a:1");
+  table_.Add(reused.own.get(), "b:1");
+  table_.SetInUse(reused.own.get(), false);
+  EXPECT_EQ(table_.ShutDownIdle("a:1"), 0u);
+  EXPECT_FALSE(reused.IsShutDown());
+  table_.Remove(reused.own.get());
+  EXPECT_EQ(table_.ShutDownIdle("a:1"), 0u);
+  EXPECT_EQ(table_.ShutDownIdle("b:1"), 0u);
+}
+
 }  // namespace
 }  // namespace radishrail::internal
--- a/tests/socket_test_util.h
+++ b/tests/socket_test_util.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "gtest/gtest.h"
@@ -106,11 +107,19 @@
                       : std::nullopt;
   }
 
+  // From now on connection attempts hang, since the queue of connections that
+  // were not accepted is full.
+  void LetConnectionsHang() {
+    EXPECT_EQ(listen(fd_.get(), 0), 0);
+    queued_.push_back(RawConnection::To(address()));
+  }
+
   void Close() { fd_.Reset(); }
 
  private:
   uint16_t port_ = 0;
   internal::FileDescriptor fd_;
+  std::vector<RawConnection> queued_;
 };
 
 // An event that a test waits for. It uses the standard library's
