Ignore messages of replaced incarnations of a peer

Cause: the baseline of transit times belongs to an incarnation of the sender, but PoolNode kept no order of them: each change of the incarnation, also back to a former one, made the message its own baseline, so that a held-up order had no excess and was executed.

A peer's incarnations are remembered in the order in which they were first seen. A message of one that was replaced is ignored, counted and logged. All state of a peer begins anew with an incarnation, and the jobs of the former one are cancelled at once. Numbers are not compared: they are start times, and a clock may be set back. A member's row no longer replaces what the peer has said of itself, and numbers of cancellations start at the incarnation, so that a reply to a former one matches none.

--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -11,6 +11,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
+#include "incarnation_history.h"
 #include "owner_choice.h"
 #include "radishrail/decision_log.h"
 #include "radishrail/job_answers.h"
@@ -75,6 +76,7 @@
   }
 }
 
+// State of a peer's current incarnation; a new one begins with an empty state.
 struct Peer {
   MemberRecord record;
   // Least difference between the local and the sender's clock; includes the
@@ -168,7 +170,10 @@
             env.metrics),
         document_version_(
             env.metrics.gauge("radishrail_document_version",
-                              "Version of the configuration in force")) {
+                              "Version of the configuration in force")),
+        replaced_senders_(env.metrics.counter(
+            "radishrail_peer_messages_replaced_total",
+            "Messages of replaced incarnations of peers, ignored")) {
     ownership_.SetPools({settings.failure_domain});
     runner_watcher_.TakeSnapshots(kNonOwnerSnapshotInterval);
   }
@@ -238,13 +243,23 @@
   }
 
   void OnPeerMessage(const MemberRecord& sender, const PeerMessage& message) {
+    switch (incarnations_[sender.peer_address].Observe(sender.incarnation)) {
+      case internal::IncarnationState::kReplaced:
+        // Held up on its way. Its sender is gone, and the jobs that it ordered
+        // may run elsewhere.
+        replaced_senders_.Add();
+        Log(LogLevel::kInfo, "message of a replaced incarnation ignored",
+            {{"peer", sender.peer_address},
+             {"message", std::string(PeerMessageName(message))}});
+        return;
+      case internal::IncarnationState::kNew:
+        ReplacePeer(sender);
+        break;
+      case internal::IncarnationState::kCurrent:
+        break;
+    }
     Peer& peer = peers_[sender.peer_address];
-    const bool is_new = peer.record.incarnation != sender.incarnation;
     peer.record = sender;
-    if (is_new) {
-      peer.clock_difference.reset();
-      UpdateClaimDelay();
-    }
     if (const auto* status = std::get_if<PoolStatus>(&message)) {
       OnStatus(peer, *status);
     } else if (const auto* job = std::get_if<PoolJobRequest>(&message)) {
@@ -307,6 +322,14 @@
   }
 
  private:
+  // The jobs of a peer's former incarnation have no caller any more.
+  void ReplacePeer(const MemberRecord& sender) {
+    CancelJobsOfEntry(sender.peer_address, "the entry daemon has restarted");
+    peers_[sender.peer_address] = {};
+    peers_[sender.peer_address].record = sender;
+    UpdateClaimDelay();
+  }
+
   bool HasOwner() const {
     const auto pools = ownership_.Pools();
     return std::any_of(pools.begin(), pools.end(), [this](const auto& it) {
@@ -347,7 +370,9 @@
           }
           for (const auto& it : *rows) {
             const auto member = DecodeMember(it.value);
-            if (member.has_value() && member->vm != settings_.vm) {
+            // What a peer has said of itself may be newer than its row.
+            if (member.has_value() && member->vm != settings_.vm &&
+                !incarnations_.contains(member->peer_address)) {
               peers_[member->peer_address].record = *member;
             }
           }
@@ -920,13 +945,17 @@
   internal::RunnerTable runners_;
   Gauge& document_version_;
   std::map<std::string, Peer> peers_;  // by address
-  bool following_rows_ = false;        // this daemon owns a pool
+  // Of the peers that have sent a message, by address.
+  std::map<std::string, internal::IncarnationHistory> incarnations_;
+  Counter& replaced_senders_;
+  bool following_rows_ = false;  // this daemon owns a pool
   std::optional<RoutedDocuments> documents_;
   absl::flat_hash_map<uint64_t, ForwardedJob> forwarded_;
   std::map<std::string, std::map<std::string, uint64_t>> keys_of_entry_;
   uint64_t next_forwarded_ = 1;
   std::map<uint64_t, PendingCancel> cancels_;
-  uint64_t next_cancel_ = 1;
+  // Starts at the incarnation, so that a reply to a former one matches none.
+  uint64_t next_cancel_ = incarnation_;
   absl::Time next_pull_ = absl::InfinitePast();
   absl::Time gossip_due_ = absl::InfinitePast();
   std::optional<absl::Time> drain_started_;
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -153,6 +153,75 @@
   EXPECT_EQ(fleet_.jobs[key].error.code, ErrorCode::kCancelled);
 }
 
+// A daemon that has restarted, and the owner of its pool, which has messages of
+// both incarnations.
+class PoolFleetRestartTest : public PoolFleetTest {
+ protected:
+  PoolFleetRestartTest() {
+    owner_ = fleet_.OwnerOf("d1");
+    entry_ = owner_ == "d1n0" ? "d1n1" : "d1n0";
+    former_ = fleet_.daemon(entry_).node->self();
+    fleet_.Kill(entry_);
+    fleet_.StartDaemon(entry_);
+    fleet_.loop.RunFor(absl::Seconds(2));
+  }
+
+  PoolJobRequest MakeRequest(absl::Duration age) const {
+    PoolJobRequest request;
+    request.request = 1;
+    request.pool = "d1";
+    request.key = kKey;
+    request.environment = "svc";
+    request.upstream_class = "svc";
+    request.steps = {{1, 1, 100}};
+    request.deadline_ms = 1000;
+    request.promised_ms = 1000;
+    request.max_failures = 1;
+    request.sent_us = absl::ToUnixMicros(fleet_.clock.Monotonic() - age);
+    return request;
+  }
+  void Receive(const MemberRecord& sender, const PeerMessage& message) {
+    PoolFleet::Daemon& daemon = fleet_.daemon(owner_);
+    daemon.pumped->Post([&daemon, sender, message] {
+      daemon.node->OnPeerMessage(sender, message);
+    });
+    fleet_.loop.RunFor(absl::Milliseconds(10));
+  }
+
+  static constexpr char kKey[] = "late";
+  std::string owner_;
+  std::string entry_;
+  MemberRecord former_;
+};
+
+// Guards against a task that runs twice: its order was held up by a partition
+// in which its sender was killed, and arrives after the sender's next start.
+TEST_F(PoolFleetRestartTest, Order_OfReplacedIncarnation_IsNotExecuted) {
+  Receive(former_, MakeRequest(absl::Seconds(3)));
+  EXPECT_EQ(fleet_.log.starts[kKey], 0);
+}
+
+// Guards against a check of the age alone.
+TEST_F(PoolFleetRestartTest, RecentOrder_OfReplacedIncarnation_IsNotExecuted) {
+  Receive(former_, MakeRequest(absl::Milliseconds(1)));
+  EXPECT_EQ(fleet_.log.starts[kKey], 0);
+}
+
+// Guards against a former incarnation that counts as the current one after it
+// was heard last: an old order of the new one would be its own baseline.
+TEST_F(PoolFleetRestartTest, OldOrder_AfterMessageOfFormer_IsNotExecuted) {
+  Receive(former_, PoolStatus());
+  Receive(fleet_.daemon(entry_).node->self(), MakeRequest(absl::Seconds(3)));
+  EXPECT_EQ(fleet_.log.starts[kKey], 0);
+}
+
+// Guards against a restarted daemon whose orders are refused.
+TEST_F(PoolFleetRestartTest, Order_OfNewIncarnation_IsExecuted) {
+  Receive(fleet_.daemon(entry_).node->self(),
+          MakeRequest(absl::ZeroDuration()));
+  EXPECT_EQ(fleet_.log.starts[kKey], 1);
+}
+
 // Guards against a pool that has no owner after its owner was killed.
 TEST_F(PoolFleetTest, Pools_OwnersKilled_AreClaimedByOtherDaemons) {
   fleet_.Kill("d1n0");
