Leave odd entries of runners out, logged once

Operators of other systems reported that one odd entry among those of the runners (deeply nested, a number too large, a port out of range) ended the machines that read the list, or stopped them from following it. But such entries were used as runners: numbers beyond int64 were converted (undefined for 1e300), counts of slots and numbers of runs were cut to 32 bits, so that one run could be taken for another, any text counted as an address, and names had no bound. Each odd row was logged with each reading, with texts of its own of any length. A row whose value is not base64 was dropped unnoticed; a page of 500 of them ended the reading of the list before its end.

Each number from another process is now checked against its range, and an entry with one outside it is left out, as is one without a usable address or with a name over 200 bytes. It is logged once, with its key and a reason of fixed length, until it can be read again or is gone; the counter radishrail_store_rows_spoiled_total is unchanged.

--- a/src/job.cc
+++ b/src/job.cc
@@ -14,6 +14,9 @@
 constexpr std::array<std::string_view, 4> kJobStatuses = {"running", "complete",
                                                           "failed", "not_run"};
 
+// Of a task or an upstream, so that those of a job can be added as `int`.
+constexpr int64_t kMaxSlots = 1'000'000;
+
 int64_t DivideUp(int64_t n, int64_t unit) {
   return (n + unit - 1) / unit;
 }
@@ -21,14 +24,17 @@
 }  // namespace
 
 int SlotsNeeded(const Resources& resources) {
-  return static_cast<int>(
-      std::max<int64_t>({1, DivideUp(resources.cpu_millis, kCpuMillisPerSlot),
-                         DivideUp(resources.memory_mb, kMemoryMbPerSlot)}));
+  return static_cast<int>(std::clamp<int64_t>(
+      std::max(DivideUp(resources.cpu_millis, kCpuMillisPerSlot),
+               DivideUp(resources.memory_mb, kMemoryMbPerSlot)),
+      1, kMaxSlots));
 }
 
 int SlotsOffered(const Resources& resources) {
-  return static_cast<int>(std::min(resources.cpu_millis / kCpuMillisPerSlot,
-                                   resources.memory_mb / kMemoryMbPerSlot));
+  return static_cast<int>(
+      std::clamp<int64_t>(std::min(resources.cpu_millis / kCpuMillisPerSlot,
+                                   resources.memory_mb / kMemoryMbPerSlot),
+                          0, kMaxSlots));
 }
 
 std::string_view TaskStatusName(TaskStatus status) {
--- a/src/runner_table.cc
+++ b/src/runner_table.cc
@@ -1,6 +1,5 @@
 #include "runner_table.h"
 
-#include <set>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -15,6 +14,7 @@
 constexpr absl::Duration kMissingRowTimeout = absl::Milliseconds(2500);
 // Longer waits would stop the pool while the store is down.
 constexpr absl::Duration kMaxRowsWait = absl::Seconds(1);
+constexpr size_t kMaxLoggedKeyBytes = 200;
 
 }  // namespace
 
@@ -44,10 +44,13 @@
       MarkMissing(runner);
     }
   }
+  std::erase_if(malformed_,
+                [&](const auto& it) { return !present.contains(it); });
 }
 
 void RunnerTable::ApplyRow(const Row& row) {
   if (row.version == 0) {
+    malformed_.erase(row.key);
     const auto it = runners_.find(row.key);
     if (it != runners_.end()) {
       MarkMissing(it->second);
@@ -57,15 +60,25 @@
   Error error;
   std::optional<VmInfo> info = parse_(row, &error);
   if (!info.has_value()) {
-    malformed_rows_.Add();
-    LogFailure("malformed row of a runner ignored", error);
+    OnMalformedRow(row, error);
     return;
   }
+  malformed_.erase(row.key);
   Runner& runner = runners_[row.key];
   LogStateChange(runner, row, *info);
   runner = {*std::move(info), row.version, std::nullopt};
 }
 
+// Logged once: the row is read again with each snapshot.
+void RunnerTable::OnMalformedRow(const Row& row, const Error& error) {
+  malformed_rows_.Add();
+  if (malformed_.insert(row.key).second) {
+    Log(LogLevel::kWarning, "malformed row of a runner ignored",
+        {{"key", row.key.substr(0, kMaxLoggedKeyBytes)},
+         {"detail", error.detail}});
+  }
+}
+
 void RunnerTable::MarkMissing(Runner& runner) {
   if (!runner.missing_since.has_value()) {
     runner.missing_since = clock_.Monotonic();
--- a/src/runner_table.h
+++ b/src/runner_table.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,11 +50,14 @@
       const std::function<bool(const std::string& vm)>& responds);
 
   const std::map<std::string, Runner>& runners() const { return runners_; }
+  // Number of rows that could not be decoded when they were read last.
+  size_t malformed_rows() const { return malformed_.size(); }
   // Time since rows were read.
   absl::Duration age() const { return clock_.Monotonic() - read_at_; }
 
  private:
   void ApplyRow(const Row& row);
+  void OnMalformedRow(const Row& row, const Error& error);
   void MarkMissing(Runner& runner);
   void LogStateChange(const Runner& known, const Row& row, const VmInfo& info);
 
@@ -62,6 +66,7 @@
   const std::function<bool(const std::string& pool)> owns_pool_;
   Counter& malformed_rows_;
   std::map<std::string, Runner> runners_;  // by row key
+  std::set<std::string> malformed_;        // keys of rows
   absl::Time read_at_ = absl::InfinitePast();
   std::optional<absl::Time> awaiting_since_;
 };
--- a/tests/runner_table_test.cc
+++ b/tests/runner_table_test.cc
@@ -45,6 +45,19 @@
   EXPECT_FALSE(RemoveMissing(false));
 }
 
+// Guards against logs that grow with each reading of a row that another writer
+// left, and against a second odd row that is not reported.
+TEST_F(RunnerTableTest, Row_MalformedAgain_IsReportedOnce) {
+  table_.OnRows({{"r1", "malformed", 1}}, true);
+  EXPECT_EQ(table_.malformed_rows(), 1u);
+  table_.OnRows({{"r1", "malformed", 1}, {"r2", "malformed", 2}}, true);
+  EXPECT_EQ(table_.malformed_rows(), 2u);
+  table_.OnRows({{"r1", "", 3}}, false);
+  EXPECT_EQ(table_.malformed_rows(), 1u);
+  table_.OnRows({}, true);
+  EXPECT_EQ(table_.malformed_rows(), 0u);
+}
+
 // Guards against the loss of live runners whose rows expired while the store
 // was unreachable.
 TEST_F(RunnerTableTest, Row_MissingInSnapshot_RespondingRunnerStaysForAWhile) {
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -1,6 +1,8 @@
 #include "wire.h"
 
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
@@ -128,6 +130,42 @@
   }
 }
 
+// Guards against using an entry of another writer whose numbers cannot be
+// represented, or whose address or names cannot be used.
+TEST_F(WireTest, DecodeRunnerEntry_FieldOutOfRange_Fails) {
+  const std::string valid = Entry("ready");
+  ASSERT_TRUE(DecodeRunnerEntry("i-1", valid, &error_).has_value());
+  const std::string digits(400, '9');
+  const std::vector<std::pair<std::string, std::string>> changes = {
+      {"16000", "1e300"},
+      {"16000", "-1"},
+      {"16000", digits},
+      {"32768", "18446744073709551615"},
+      {"32768", "\"many\""},
+      {"77", "1e300"},
+      {"77", "9223372036854775808"},
+      {"77", "null"},
+      {"\"born\"", "\"seq\":1e300,\"born\""},
+      {"10.0.0.1:80", "10.0.0.1:0"},
+      {"10.0.0.1:80", "10.0.0.1:65536"},
+      {"10.0.0.1:80", "10.0.0.1:-1"},
+      {"10.0.0.1:80", "10.0.0.1"},
+      {"10.0.0.1:80", "10.0.0.1:80/x?y="},
+      {"10.0.0.1:80", ""},
+      {"z1", ""},
+      {"z1", std::string(100000, 'z')},
+      {"svc", std::string(100000, 's')},
+      {"ready", std::string(100000, 'r')}};
+  for (const auto& [from, to] : changes) {
+    std::string altered = valid;
+    altered.replace(altered.find(from), from.size(), to);
+    EXPECT_FALSE(DecodeRunnerEntry("i-1", altered, &error_).has_value())
+        << altered.substr(0, 300);
+    // Log lines must not grow with an entry.
+    EXPECT_LT(error_.detail.size(), 200u) << error_.detail.substr(0, 300);
+  }
+}
+
 TEST_F(WireTest, DecodeConfig_NestedPrefixes_LongestMatches) {
   const auto config = DecodeConfig(
       R"({"version":7,"routes":[
@@ -186,6 +224,38 @@
             OrderStatus::kInvalid);
 }
 
+// Guards against a run that is taken for another one since its number was
+// narrowed, and against a clock or a start time that no runner can have.
+TEST_F(WireTest, DecodeHoldReply_NumbersOutOfRange_AreLeftOut) {
+  const HoldReply reply = DecodeHoldReply(200,
+                                          R"({"clockMs":1e300,"born":1e300,
+          "running":[["ab.0.0.1",4294967297],["ab.0.0.2",-1],
+                     ["ab.0.0.3",1e300],["ab.0.0.4",2,"",1e300]],
+          "endedRuns":[[1e300,"ab.0.0.5",1,"done",""],
+                       [-1,"ab.0.0.6",1,"done",""],
+                       [7,"ab.0.0.7",4294967297,"done",""],
+                       [8,"ab.0.0.8",1,"done",""]]})");
+  EXPECT_EQ(reply.order.clock_ms, 0);
+  EXPECT_EQ(reply.incarnation, 0);
+  ASSERT_EQ(reply.active.size(), 1u);
+  EXPECT_EQ(reply.active[0].task_id, "0.0.4");
+  ASSERT_EQ(reply.ended.size(), 1u);
+  EXPECT_EQ(reply.ended[0].number, 8u);
+}
+
+// Guards against a row that is left out unnoticed: if it is the last one of a
+// page, the rows behind it would not be read.
+TEST_F(WireTest, DecodeRows_ValueIsNotBase64_KeepsKeyAndVersion) {
+  const auto rows = DecodeRows(
+      R"({"rows":[{"table":"t","key":"a","value":"*","ver":4}],"ver":9})",
+      &error_);
+  ASSERT_TRUE(rows.has_value()) << error_.ToString();
+  ASSERT_EQ(rows->rows.size(), 1u);
+  EXPECT_EQ(rows->rows[0].key, "t/a");
+  EXPECT_EQ(rows->rows[0].value, "");
+  EXPECT_EQ(rows->rows[0].version, 4);
+}
+
 TEST_F(WireTest, DecodeRows_Tombstone_HasVersionZero) {
   const auto rows = DecodeRows(
       absl::StrCat(R"({"rows":[{"table":"t","key":"a","value":")",
@@ -214,6 +284,28 @@
             "t/b");
 }
 
+// Guards against a stack that grows with the depth of what others write.
+TEST_F(WireTest, Decoders_DeeplyNested_DoNotCrash) {
+  constexpr int kDepth = 200000;
+  for (const char* it : {"[", "{\"a\":"}) {
+    std::string nested;
+    for (int i = 0; i < kDepth; ++i) {
+      nested += it;
+    }
+    for (const std::string& body :
+         {nested,
+          absl::StrCat(R"({"running":[],"endedRuns":[],"born":)", nested, "}"),
+          absl::StrCat(R"({"capacity":{"cpu":)", nested, "}}"),
+          absl::StrCat("{\"routes\":[", nested, "]}")}) {
+      DecodeJob(body, nullptr);
+      DecodeConfig(body, nullptr);
+      DecodeRows(body, nullptr);
+      DecodeHoldReply(200, body);
+      DecodeRunnerEntry("i", body, nullptr);
+    }
+  }
+}
+
 // Decoders read data that other processes write; they must not crash or throw.
 TEST_F(WireTest, Decoders_AlteredMessage_DoNotCrash) {
   const std::string body = Job(R"("count":3,"cpu":6800,"memMb":64)");
