Claim a pool whose row another writer has spoiled

A row of a pool with the highest possible fence left the pool without an owner for good: the next fence overflowed to 0, which means "not owned", and no job ran on its runners. After a row that cannot be decoded, a daemon that had just started could claim with a fence below that of the runners, which then refused its orders. Found by a test of odd rows in the tables of members and pools, which the review had not tried; the rows of members ended nothing.

A fence above 2^53 is taken as malformed, in a row and in a message, and a claim over a row that cannot be decoded starts at the row's version, which rises faster than fences do.

Evidence: PoolFleetOddRowsTest.Pool_RowIsSpoiledAndOwnerLost_IsServedAgain failed before (0 of 4 jobs after the fence of 2^64-1, 3 of 4 after the row that followed) and passes; PoolFleetTest 86 of 86.

--- a/src/pool_ownership.cc
+++ b/src/pool_ownership.cc
@@ -18,6 +18,10 @@
 // unresponsive.
 constexpr absl::Duration kReconnectTimeout = absl::Milliseconds(250);
 
+// Each claim adds 1, so a higher one was not written by a daemon: adding to it
+// would overflow, or exceed what runners read exactly.
+constexpr uint64_t kMaxFence = uint64_t{1} << 53;
+
 std::string RowKey(const std::string& pool) {
   return absl::StrCat("pools/", pool);
 }
@@ -32,7 +36,13 @@
   try {
     const msgpack::object_handle handle =
         msgpack::unpack(value.data(), value.size());
-    return handle.get().as<PoolClaim>();
+    auto claim = handle.get().as<PoolClaim>();
+    if (claim.fence <= kMaxFence) {
+      return claim;
+    }
+    Log(LogLevel::kWarning, "the row of a pool has an invalid fence",
+        {{"fence", absl::StrCat(claim.fence)}});
+    return std::nullopt;
   } catch (const std::exception& ec) {
     Log(LogLevel::kWarning, "the row of a pool cannot be decoded",
         {{"detail", ec.what()}});
@@ -69,7 +79,8 @@
 
 void PoolOwnership::OnClaim(const PoolClaim& claim, absl::Time sent) {
   const auto it = pools_.find(claim.pool);
-  if (it == pools_.end() || claim.owner == settings_.vm) {
+  if (it == pools_.end() || claim.owner == settings_.vm ||
+      claim.fence > kMaxFence) {
     return;
   }
   if (claim.fence >= it->second.claim.fence) {
@@ -230,7 +241,11 @@
         return;
       }
     }
-    fence = claim.has_value() ? std::max(fence, claim->fence) : fence;
+    // The store's version rises with each transaction, so no fence of a claim
+    // that another writer has replaced exceeds it.
+    fence =
+        std::max(fence, claim.has_value() ? claim->fence
+                                          : static_cast<uint64_t>(row.version));
   }
   if (!IsUnresponsive(pool) && !pool.claim.owner.empty() &&
       pool.claim.owner != settings_.vm) {
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -2,7 +2,9 @@
 
 #include <cstdlib>
 #include <string>
+#include <vector>
 
+#include "absl/strings/escaping.h"
 #include "crashing_jobs.h"
 #include "gmock/gmock.h"
 #include "gtest/gtest.h"
@@ -153,6 +155,64 @@
   EXPECT_EQ(fleet_.jobs[key].error.code, ErrorCode::kCancelled);
 }
 
+// Rows that another writer has left in the tables of members and pools.
+class PoolFleetOddRowsTest : public PoolFleetTest {
+ protected:
+  static std::string Pack(const auto& value) {
+    msgpack::sbuffer buf;
+    msgpack::pack(buf, value);
+    return {buf.data(), buf.size()};
+  }
+  static std::vector<std::string> Values() {
+    constexpr size_t kDepth = 200000;
+    std::vector<std::string> values = {
+        "", "\xc1", "text", std::string(kDepth, '\x91'),
+        // An array that claims to have 2^31 elements.
+        std::string("\xdd\x80\x00\x00\x00", 5)};
+    PoolClaim claim;
+    claim.pool = "d1";
+    claim.owner = "nobody";
+    claim.address = "10.0.0.1:99999";
+    for (const uint64_t fence : {uint64_t{1} << 62, ~uint64_t{0}}) {
+      claim.fence = fence;
+      values.push_back(Pack(claim));
+    }
+    MemberRecord member;
+    member.vm = "nobody";
+    member.peer_address = "not an address";
+    member.weight = ~uint32_t{0};
+    values.push_back(Pack(member));
+    return values;
+  }
+};
+
+// Guards against a pool that gets no owner any more after its row was spoiled.
+TEST_F(PoolFleetOddRowsTest, Pool_RowIsSpoiledAndOwnerLost_IsServedAgain) {
+  for (const auto& it : fleet_.RunnerNames()) {
+    if (it.starts_with("d2")) {
+      fleet_.PutRunner(it, "draining");
+    }
+  }
+  for (const std::string& it : Values()) {
+    const std::string owner = fleet_.OwnerOf("d1");
+    fleet_.rows.Put("pools/d1", it);
+    fleet_.rows.Put("members/nobody", it);
+    fleet_.Kill(owner == "" ? "d1n0" : owner);
+    fleet_.StartDaemon(owner == "" ? "d1n0" : owner);
+    fleet_.loop.RunFor(absl::Seconds(5));
+    const int before = Answers(JobStatus::kComplete);
+    for (int i = 0; i < 4; ++i) {
+      fleet_.Submit(fleet_.Names()[i], 2);
+      fleet_.loop.RunFor(absl::Milliseconds(200));
+    }
+    fleet_.loop.RunFor(absl::Seconds(1));
+    EXPECT_EQ(Answers(JobStatus::kComplete) - before, 4)
+        << absl::CHexEscape(it.substr(0, 60));
+    EXPECT_NE(fleet_.OwnerOf("d1"), "") << absl::CHexEscape(it.substr(0, 60));
+  }
+  EXPECT_THAT(fleet_.log.violations, IsEmpty());
+}
+
 // A daemon that has restarted, and the owner of its pool, which has messages of
 // both incarnations.
 class PoolFleetRestartTest : public PoolFleetTest {
