Tie peers' orders, cancellations and ends to what they belong to

- the end of a connection of a replaced incarnation cancelled the jobs of the new one; their callers waited for the deadline.
The transport now reports the end of an inbound connection with its sender, and PoolNode ignores it if the sender was replaced.
- an order that its entry daemon had given up was executed if it arrived on a former connection after a message of the next one.
Status messages name the oldest request that is not given up; older orders are refused.
- a late cancellation of a first request ended the repetition of its job, since it named the key only.
It names the request as well; a message of an older release has no number and ends all.

--- a/include/radishrail/node.h
+++ b/include/radishrail/node.h
@@ -55,6 +55,7 @@
   void OnPeerMessage(const MemberRecord& sender,
                      const PeerMessage& message) override;
   void OnPeerDisconnected(const std::string& peer_address) override;
+  void OnSenderDisconnected(const MemberRecord& sender) override;
 
   // Starts a graceful shutdown, which `Tick` carries on.
   void BeginDrain();
--- a/include/radishrail/peer_message.h
+++ b/include/radishrail/peer_message.h
@@ -329,7 +329,10 @@
 struct PoolJobCancel {
   uint64_t request = 0;
   std::string key;
-  MSGPACK_DEFINE(request, key);
+  // With request 0, the number of the `PoolJobRequest` that is given up; a
+  // later one for the same key goes on. Zero: all of them.
+  uint64_t job_request = 0;
+  MSGPACK_DEFINE(request, key, job_request);
 };
 
 struct PoolJobCancelReply {
--- a/include/radishrail/peer_transport.h
+++ b/include/radishrail/peer_transport.h
@@ -26,7 +26,11 @@
   // `sender` is the member record from the peer's `Hello`.
   virtual void OnPeerMessage(const MemberRecord& sender,
                              const PeerMessage& message) = 0;
+  // The connection to the peer broke: messages sent on it may be lost.
   virtual void OnPeerDisconnected(const std::string& peer_address) = 0;
+  // A connection from the peer ended. The peer may have restarted since, and
+  // have another connection.
+  virtual void OnSenderDisconnected(const MemberRecord& sender) = 0;
 };
 
 }  // namespace radishrail
--- a/include/radishrail/pool_node.h
+++ b/include/radishrail/pool_node.h
@@ -104,6 +104,7 @@
   void OnPeerMessage(const MemberRecord& sender,
                      const PeerMessage& message) override;
   void OnPeerDisconnected(const std::string& peer_address) override;
+  void OnSenderDisconnected(const MemberRecord& sender) override;
 
   // Starts a graceful shutdown; progress through `Tick`.
   void BeginDrain();
--- a/include/radishrail/tcp_peer_transport.h
+++ b/include/radishrail/tcp_peer_transport.h
@@ -60,9 +60,9 @@
   // Thread-safe. Returns false before `Start`, after `Stop`, during the delay
   // after a failed connection attempt, and if the message is too large or the
   // queue is full. Queued messages are lost if the connection breaks or cannot
-  // be opened, and `OnPeerDisconnected` is called. It is also called if the
-  // connection that the peer opened breaks, since replies may be lost with it;
-  // so a peer that crashes may be reported twice.
+  // be opened, and `OnPeerDisconnected` is called. `OnSenderDisconnected` is
+  // called if the connection that the peer opened breaks, since replies may be
+  // lost with it; so a peer that crashes is reported by both.
   bool Send(const std::string& peer_address,
             const PeerMessage& message) override;
 
--- a/src/node.cc
+++ b/src/node.cc
@@ -558,6 +558,9 @@
 void Node::OnPeerDisconnected(const std::string& peer_address) {
   impl_->OnPeerDisconnected(peer_address);
 }
+void Node::OnSenderDisconnected(const MemberRecord& sender) {
+  impl_->OnPeerDisconnected(sender.peer_address);
+}
 
 void Node::BeginDrain() {
   impl_->BeginDrain();
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -50,6 +50,7 @@
 constexpr absl::Duration kCancelWait = absl::Milliseconds(400);
 // Short, since another daemon accepts the request at once.
 constexpr absl::Duration kDrainRetry = absl::Milliseconds(100);
+constexpr absl::Duration kRefusedRetry = absl::Milliseconds(200);
 // Time from the last accepted job of a pool to its release, in which most of
 // its jobs end. A peer that sent nothing for as long does not count as alive.
 constexpr absl::Duration kReturnDelay = absl::Milliseconds(1500);
@@ -84,6 +85,8 @@
   std::optional<absl::Duration> clock_difference;
   absl::Time last_contact = absl::InfinitePast();
   int64_t document_version = 0;
+  // The peer has given up its requests with lower numbers.
+  uint64_t oldest_request = 0;
   absl::Time status_sent_at = absl::InfinitePast();
   bool status_sent = false;  // a status was sent on the current connection
 };
@@ -271,13 +274,7 @@
     } else if (const auto* reply = std::get_if<PoolJobReply>(&message)) {
       router_.OnReply(*reply);
     } else if (const auto* cancel = std::get_if<PoolJobCancel>(&message)) {
-      const bool known = dispatcher_.Cancel(
-          cancel->key, cancel->request == 0 ? ErrorCode::kConnectionBroken
-                                            : ErrorCode::kCancelled);
-      if (cancel->request != 0) {
-        env_.transport.Send(sender.peer_address,
-                            PoolJobCancelReply{cancel->request, known});
-      }
+      OnCancel(sender.peer_address, *cancel);
     } else if (const auto* answer = std::get_if<PoolJobCancelReply>(&message)) {
       OnCancelReply(*answer);
     } else if (const auto* pull = std::get_if<DocumentPull>(&message)) {
@@ -299,6 +296,12 @@
     CancelJobsOfEntry(address, "the connection to the entry daemon broke");
   }
 
+  void OnSenderDisconnected(const MemberRecord& sender) {
+    if (!incarnations_[sender.peer_address].IsReplaced(sender.incarnation)) {
+      OnPeerDisconnected(sender.peer_address);
+    }
+  }
+
   void BeginDrain() {
     if (!drain_started_.has_value()) {
       drain_started_ = env_.clock.Monotonic();
@@ -518,7 +521,8 @@
     const absl::Time sent =
         env_.clock.Monotonic() - ExcessTransitTime(peer, status.sent_us);
     peer.last_contact = std::max(peer.last_contact, sent);
-    CancelGivenUpJobs(peer.record.peer_address, status.oldest_request);
+    peer.oldest_request = std::max(peer.oldest_request, status.oldest_request);
+    CancelGivenUpJobs(peer.record.peer_address, peer.oldest_request);
     peer.document_version = status.document_version;
     for (const auto& it : status.run_fates) {
       dispatcher_.OnPeerFate({it.job_key, it.task_id, it.vm, it.incarnation,
@@ -538,6 +542,25 @@
     uint64_t request = 0;
   };
 
+  // Not ok if a job must not be taken.
+  Error CheckRequest(const std::string& address,
+                     const PoolJobRequest& request,
+                     absl::Duration excess_transit_time) {
+    if (excess_transit_time > kMaxExcessTransitTime) {
+      return {ErrorCode::kNotReady, Step::kOwnership, "",
+              "the request was delayed for too long in transit"};
+    }
+    if (request.request < peers_[address].oldest_request) {
+      return {ErrorCode::kNotReady, Step::kOwnership, "",
+              "the entry daemon has given up the request"};
+    }
+    if (ownership_.OwnedFence(request.pool) == 0 || handing_over_) {
+      return {ErrorCode::kNoOwner, Step::kOwnership, "",
+              "this daemon does not own the pool"};
+    }
+    return {};
+  }
+
   void OnJob(const std::string& address,
              const PoolJobRequest& request,
              absl::Duration excess_transit_time) {
@@ -566,15 +589,12 @@
     const uint64_t number = next_forwarded_++;
     forwarded_[number] = {address, request.request};
     keys_of_entry_[address][request.key] = number;
-    const bool stale = excess_transit_time > kMaxExcessTransitTime;
-    if (ownership_.OwnedFence(request.pool) == 0 || handing_over_ || stale) {
+    const Error refusal = CheckRequest(address, request, excess_transit_time);
+    if (!refusal.ok()) {
       JobAnswer answer;
       answer.status = JobStatus::kNotRun;
-      answer.error = {stale ? ErrorCode::kNotReady : ErrorCode::kNoOwner,
-                      Step::kOwnership, "",
-                      stale ? "the request was delayed for too long in transit"
-                            : "this daemon does not own the pool"};
-      answer.retry_after = absl::Milliseconds(200);
+      answer.error = refusal;
+      answer.retry_after = kRefusedRetry;
       Reply(number, request.key, answer);
       return;
     }
@@ -702,6 +722,31 @@
     }
   }
 
+  void OnCancel(const std::string& address, const PoolJobCancel& cancel) {
+    if (cancel.request != 0) {
+      const bool known = dispatcher_.Cancel(cancel.key, ErrorCode::kCancelled);
+      env_.transport.Send(address, PoolJobCancelReply{cancel.request, known});
+    } else if (cancel.job_request == 0 ||
+               cancel.job_request == RequestInProgress(address, cancel.key)) {
+      dispatcher_.Cancel(cancel.key, ErrorCode::kConnectionBroken);
+    }
+  }
+
+  // The entry daemon's number of the request for the job; zero if there is
+  // none.
+  uint64_t RequestInProgress(const std::string& address,
+                             const std::string& key) const {
+    const auto keys = keys_of_entry_.find(address);
+    if (keys == keys_of_entry_.end()) {
+      return 0;
+    }
+    const auto number = keys->second.find(key);
+    const auto job = number == keys->second.end()
+                         ? forwarded_.end()
+                         : forwarded_.find(number->second);
+    return job == forwarded_.end() ? 0 : job->second.request;
+  }
+
   void OnCancelReply(const PoolJobCancelReply& reply) {
     const auto it = cancels_.find(reply.request);
     if (it == cancels_.end()) {
@@ -1012,6 +1057,9 @@
 void PoolNode::OnPeerDisconnected(const std::string& peer_address) {
   impl_->OnPeerDisconnected(peer_address);
 }
+void PoolNode::OnSenderDisconnected(const MemberRecord& sender) {
+  impl_->OnSenderDisconnected(sender);
+}
 void PoolNode::BeginDrain() {
   impl_->BeginDrain();
 }
--- a/src/pool_router.cc
+++ b/src/pool_router.cc
@@ -304,7 +304,7 @@
   // The owner may be alive and reach its upstreams; it must not continue a job
   // that the caller may submit again. The cancellation may be lost, so the
   // status messages repeat it.
-  transport_.Send(pending.address, PoolJobCancel{0, key});
+  transport_.Send(pending.address, PoolJobCancel{0, key, request});
   given_up_until_[pending.address] = clock_.Monotonic() + kGivenUpNoticeTime;
   JobAnswer answer;
   answer.key = key;
@@ -352,7 +352,7 @@
     cancel_local_(key);
     return;
   }
-  transport_.Send(it->second.address, PoolJobCancel{0, key});
+  transport_.Send(it->second.address, PoolJobCancel{0, key, it->first});
   given_up_until_[it->second.address] = clock_.Monotonic() + kGivenUpNoticeTime;
   pending_.erase(it);
 }
--- a/src/tcp_peer_transport.cc
+++ b/src/tcp_peer_transport.cc
@@ -860,6 +860,7 @@
   const std::string address = connection.address;
   const bool outbound = connection.outbound;
   const bool established = connection.established;
+  const MemberRecord sender = connection.sender;
   connections_.erase(connection.id);
   if (outbound) {
     ResetLink(address, established);
@@ -867,8 +868,8 @@
   }
   --inbound_count_;
   if (established) {
-    executor_.Post([handler = handler_, address] {
-      handler->OnPeerDisconnected(address);
+    executor_.Post([handler = handler_, sender] {
+      handler->OnSenderDisconnected(sender);
     });
   }
 }
--- a/tests/tcp_peer_transport_test.cc
+++ b/tests/tcp_peer_transport_test.cc
@@ -44,6 +44,9 @@
     disconnected_.push_back(peer_address);
     changed_.notify_all();
   }
+  void OnSenderDisconnected(const MemberRecord& sender) override {
+    OnPeerDisconnected(sender.peer_address);
+  }
 
   std::vector<std::pair<MemberRecord, PeerMessage>> WaitForMessages(size_t n) {
     std::unique_lock lock(mutex_);
