Start no repetition beside a run of an ended job

A best-effort job is forgotten at its deadline, while a run of it may go on until its runner has answered a stop or its lease is over. A repetition of the job at the same owner began at run number 1 again: it could start beside the former run, and a stop could reach the wrong one of the two, since runs are found by their number. Suspected by the review from reading.

JobController counts the runs of ended jobs by key and answers a repetition as unknown until they have ended; its client sends it again later.

Evidence: JobControllerTest.Deadline_RunHasNotEnded_RepetitionDoesNotStart failed before (two starts) and passes; JobControllerTest 37 of 37, PoolFleetTest 89 of 89.

--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -125,6 +125,14 @@
       Join(spec, std::move(callback));
       return;
     }
+    if (runs_of_ended_jobs_.contains(spec.key)) {
+      Deliver(std::move(callback),
+              UnknownAnswer(
+                  spec, {ErrorCode::kOutcomeUnknown, Step::kDeduplication, "",
+                         "a run of an earlier submission may not "
+                         "have ended yet"}));
+      return;
+    }
     const absl::Time now = std::min(clock_.Monotonic(), decided_at);
     std::optional<Refusal> refusal = CheckAcceptable(spec, document.get());
     const uint64_t number = next_job_++;
@@ -481,6 +489,13 @@
     }
   }
 
+  void RemoveRunOfEndedJob(const std::string& key) {
+    const auto it = runs_of_ended_jobs_.find(key);
+    if (--it->second == 0) {
+      runs_of_ended_jobs_.erase(it);
+    }
+  }
+
   // A late or duplicate result changes no task, but a notice in it that the
   // upstream is leaving is still valid, and a run past the deadline of its job
   // has ended.
@@ -489,7 +504,10 @@
                   UpstreamId upstream,
                   const TaskResult& result) {
     metrics_.dropped_results.Add();
-    if (runs_past_deadline_.erase({ref.job, ref.task}) > 0) {
+    const auto run = runs_past_deadline_.find({ref.job, ref.task});
+    if (run != runs_past_deadline_.end()) {
+      RemoveRunOfEndedJob(run->second);
+      runs_past_deadline_.erase(run);
       scheduler_.Finish(ref, std::nullopt);
     }
     const std::optional<UpstreamView> view = upstreams_.Find(upstream);
@@ -820,7 +838,8 @@
         result.run_time = now - task.started;
         upstreams_.OnResult(task.upstream, result,
                             run_times_.Expected(task.kind));
-        runs_past_deadline_.insert({job.number, i});
+        runs_past_deadline_.insert({{job.number, i}, job.spec.key});
+        ++runs_of_ended_jobs_[job.spec.key];
         task.status = TaskStatus::kUnknown;
         task.error = WithContext(job, {job.number, i}, result.error,
                                  ErrorCode::kDeadlineExceeded);
@@ -866,9 +885,12 @@
   internal::KeyTable keys_;
   absl::flat_hash_map<uint64_t, std::unique_ptr<Job>> jobs_;
   absl::btree_set<std::pair<absl::Time, uint64_t>> deadlines_;
-  // Job and task of each run whose job ended at its deadline. The run occupies
-  // its slots until its result arrives.
-  absl::flat_hash_set<std::pair<uint64_t, uint32_t>> runs_past_deadline_;
+  // Job and task of each run whose job ended at its deadline, with the job's
+  // key. The run occupies its slots until its result arrives.
+  absl::flat_hash_map<std::pair<uint64_t, uint32_t>, std::string>
+      runs_past_deadline_;
+  // Number of these runs, by key.
+  absl::flat_hash_map<std::string, int> runs_of_ended_jobs_;
   internal::RetryBudgets retry_budgets_;
   internal::RunTimeModel run_times_;
   std::deque<Delivery> deliveries_;
--- a/tests/job_controller_test.cc
+++ b/tests/job_controller_test.cc
@@ -388,6 +388,28 @@
   EXPECT_FALSE(jobs_.Cancel("other"));
 }
 
+// Guards against two runs of a task at a time: the key of a best-effort job is
+// forgotten at its deadline, while its run may continue on a silent upstream.
+TEST_F(JobControllerTest, Deadline_RunHasNotEnded_RepetitionDoesNotStart) {
+  JobSpec job = TestJob("k", 1);
+  job.best_effort = true;
+  Submit(job);
+  jobs_.Tick();
+  ASSERT_EQ(client_.calls.size(), 1u);
+  Advance(job.deadline);
+  ASSERT_TRUE(answers_[0].has_value());
+  Submit(job);
+  jobs_.Tick();
+  EXPECT_EQ(client_.calls.size(), 1u);
+  ASSERT_TRUE(answers_[1].has_value());
+  EXPECT_EQ(answers_[1]->status, JobStatus::kFailed);
+  EXPECT_EQ(answers_[1]->error.code, ErrorCode::kOutcomeUnknown);
+  Respond(0, Outcome(TaskOutcome::kUnknown));
+  Submit(job);
+  jobs_.Tick();
+  EXPECT_EQ(client_.calls.size(), 2u);
+}
+
 // Guards against a job that is offered to another pool as refused although its
 // tasks crashed upstreams under an earlier submission.
 TEST_F(JobControllerTest, Cancel_UpstreamsLostUnderQueuedJob_IsFailed) {
