--- a/include/radishrail/job_controller.h
+++ b/include/radishrail/job_controller.h
@@ -51,9 +51,10 @@
   // Accepts a new job, or refuses all of it (`kNotRun`) without remembering it.
   // The caller must have decided that this daemon owns the key in the same turn
   // of the control thread. An accepted job that ends as `kNotRun` is forgotten
-  // too, unless it was cancelled.
-  // `decided_at` is the time of the ownership decision: a pause between the
-  // decision and this call shortens the time in which tasks may start.
+  // too, unless it was cancelled. The answer is unknown while runs of an
+  // earlier job with the key may not have ended. `decided_at` is the time of
+  // the ownership decision: a pause between the decision and this call shortens
+  // the time in which tasks may start.
   void Accept(JobSpec job,
               std::shared_ptr<const VersionedDocument> document,
               AnswerCallback callback,
--- a/src/incarnation_history.h
+++ b/src/incarnation_history.h
@@ -17,7 +17,6 @@
   // An incarnation that was not seen before becomes the current one.
   IncarnationState Observe(uint64_t incarnation);
   bool IsReplaced(uint64_t incarnation) const;
-  bool empty() const { return seen_.empty(); }
 
  private:
   // Messages of older incarnations cannot still be on their way.
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -9,8 +9,8 @@
 #include <set>
 #include <utility>
 
-#include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
+#include "forwarded_jobs.h"
 #include "incarnation_history.h"
 #include "owner_choice.h"
 #include "radishrail/decision_log.h"
@@ -501,18 +501,7 @@
 
   // Cancels the jobs that their entry daemon has given up.
   void CancelGivenUpJobs(const std::string& address, uint64_t oldest_request) {
-    const auto it = keys_of_entry_.find(address);
-    if (it == keys_of_entry_.end()) {
-      return;
-    }
-    std::vector<std::string> given_up;
-    for (const auto& [key, number] : it->second) {
-      const auto job = forwarded_.find(number);
-      if (job != forwarded_.end() && job->second.request < oldest_request) {
-        given_up.push_back(key);
-      }
-    }
-    for (const auto& key : given_up) {
+    for (const auto& key : forwarded_.KeysBefore(address, oldest_request)) {
       dispatcher_.Cancel(key, ErrorCode::kConnectionBroken);
     }
   }
@@ -537,11 +526,6 @@
 
   // --- Jobs for this daemon's pools ---
 
-  struct ForwardedJob {
-    std::string address;
-    uint64_t request = 0;
-  };
-
   // Not ok if a job must not be taken.
   Error CheckRequest(const std::string& address,
                      const PoolJobRequest& request,
@@ -586,23 +570,21 @@
         job.tasks.push_back(task);
       }
     }
-    const uint64_t number = next_forwarded_++;
-    forwarded_[number] = {address, request.request};
-    keys_of_entry_[address][request.key] = number;
+    const uint64_t number =
+        forwarded_.Add({address, request.request, request.key});
     const Error refusal = CheckRequest(address, request, excess_transit_time);
     if (!refusal.ok()) {
       JobAnswer answer;
       answer.status = JobStatus::kNotRun;
       answer.error = refusal;
       answer.retry_after = kRefusedRetry;
-      Reply(number, request.key, answer);
+      Reply(number, answer);
       return;
     }
     auto document = std::make_shared<VersionedDocument>(DocumentOf(request));
-    Dispatch(address, std::move(job), std::move(document),
-             [this, number, key = request.key](const JobAnswer& answer) {
-               Reply(number, key, answer);
-             });
+    Dispatch(
+        address, std::move(job), std::move(document),
+        [this, number](const JobAnswer& answer) { Reply(number, answer); });
   }
 
   // Dispatches a job in this daemon's pools and logs how it ends.
@@ -667,20 +649,14 @@
     return document;
   }
 
-  void Reply(uint64_t number, const std::string& key, const JobAnswer& answer) {
-    const auto it = forwarded_.find(number);
-    if (it == forwarded_.end()) {
+  void Reply(uint64_t number, const JobAnswer& answer) {
+    const auto job = forwarded_.Take(number);
+    if (!job.has_value()) {
       return;
     }
-    const ForwardedJob job = std::move(it->second);
-    forwarded_.erase(it);
-    const auto keys = keys_of_entry_.find(job.address);
-    if (keys != keys_of_entry_.end()) {
-      keys->second.erase(key);
-    }
     PoolJobReply reply;
-    reply.request = job.request;
-    reply.key = key;
+    reply.request = job->request;
+    reply.key = job->key;
     reply.status = static_cast<uint32_t>(answer.status);
     reply.error = static_cast<uint32_t>(answer.error.code);
     reply.detail = answer.error.detail;
@@ -690,36 +666,29 @@
     reply.busy_slots = static_cast<uint32_t>(std::max(load.busy_slots, 0));
     reply.backlog_ms =
         static_cast<uint32_t>(absl::ToInt64Milliseconds(load.backlog));
-    env_.transport.Send(job.address, reply);
+    env_.transport.Send(job->address, reply);
   }
 
   void CancelJobsOfEntry(const std::string& address, const char* reason) {
-    const auto it = keys_of_entry_.find(address);
-    if (it == keys_of_entry_.end() || it->second.empty()) {
+    const std::vector<std::string> keys = forwarded_.TakeAll(address);
+    if (keys.empty()) {
       return;
     }
-    const std::map<std::string, uint64_t> keys = std::move(it->second);
-    keys_of_entry_.erase(it);
     Log(LogLevel::kInfo, "jobs of an entry daemon cancelled",
         {{"peer", address},
          {"jobs", absl::StrCat(keys.size())},
          {"reason", reason}});
-    for (const auto& [key, number] : keys) {
-      forwarded_.erase(number);
-      dispatcher_.Cancel(key, ErrorCode::kConnectionBroken);
+    for (const auto& it : keys) {
+      dispatcher_.Cancel(it, ErrorCode::kConnectionBroken);
     }
   }
 
   void CancelJobsOfUnresponsiveEntries(absl::Time now) {
-    std::vector<std::string> unresponsive;
-    for (const auto& [address, keys] : keys_of_entry_) {
-      if (!keys.empty() && now - peers_[address].last_contact > kEntryTimeout) {
-        unresponsive.push_back(address);
+    for (const auto& it : forwarded_.Entries()) {
+      if (now - peers_[it].last_contact > kEntryTimeout) {
+        CancelJobsOfEntry(it, "the entry daemon is unresponsive");
       }
     }
-    for (const auto& it : unresponsive) {
-      CancelJobsOfEntry(it, "the entry daemon is unresponsive");
-    }
   }
 
   void OnCancel(const std::string& address, const PoolJobCancel& cancel) {
@@ -727,26 +696,12 @@
       const bool known = dispatcher_.Cancel(cancel.key, ErrorCode::kCancelled);
       env_.transport.Send(address, PoolJobCancelReply{cancel.request, known});
     } else if (cancel.job_request == 0 ||
-               cancel.job_request == RequestInProgress(address, cancel.key)) {
+               cancel.job_request ==
+                   forwarded_.RequestOf(address, cancel.key)) {
       dispatcher_.Cancel(cancel.key, ErrorCode::kConnectionBroken);
     }
   }
 
-  // The entry daemon's number of the request for the job; zero if there is
-  // none.
-  uint64_t RequestInProgress(const std::string& address,
-                             const std::string& key) const {
-    const auto keys = keys_of_entry_.find(address);
-    if (keys == keys_of_entry_.end()) {
-      return 0;
-    }
-    const auto number = keys->second.find(key);
-    const auto job = number == keys->second.end()
-                         ? forwarded_.end()
-                         : forwarded_.find(number->second);
-    return job == forwarded_.end() ? 0 : job->second.request;
-  }
-
   void OnCancelReply(const PoolJobCancelReply& reply) {
     const auto it = cancels_.find(reply.request);
     if (it == cancels_.end()) {
@@ -995,9 +950,7 @@
   Counter& replaced_senders_;
   bool following_rows_ = false;  // this daemon owns a pool
   std::optional<RoutedDocuments> documents_;
-  absl::flat_hash_map<uint64_t, ForwardedJob> forwarded_;
-  std::map<std::string, std::map<std::string, uint64_t>> keys_of_entry_;
-  uint64_t next_forwarded_ = 1;
+  internal::ForwardedJobs forwarded_;
   std::map<uint64_t, PendingCancel> cancels_;
   // Starts at the incarnation, so that a reply to a former one matches none.
   uint64_t next_cancel_ = incarnation_;
--- a/src/pool_router.cc
+++ b/src/pool_router.cc
@@ -345,9 +345,9 @@
   log_.Write(Decision::kJobAbandoned, key, "the client disconnected");
   offer->withdrawn = true;
   open_.erase(key);
-  const auto it =
-      std::find_if(pending_.begin(), pending_.end(),
-                   [&](const auto& it) { return it.second.offer == offer; });
+  const auto it = std::find_if(
+      pending_.begin(), pending_.end(),
+      [&](const auto& pending) { return pending.second.offer == offer; });
   if (it == pending_.end()) {
     cancel_local_(key);
     return;
