--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -246,7 +246,8 @@
   }
 
   void OnPeerMessage(const MemberRecord& sender, const PeerMessage& message) {
-    switch (incarnations_[sender.peer_address].Observe(sender.incarnation)) {
+    switch (incarnations_[sender.peer_address].Observe(
+        sender.incarnation, env_.clock.Monotonic())) {
       case internal::IncarnationState::kReplaced:
         // Held up on its way. Its sender is gone, and the jobs that it ordered
         // may run elsewhere.
@@ -297,7 +298,7 @@
   }
 
   void OnSenderDisconnected(const MemberRecord& sender) {
-    if (!incarnations_[sender.peer_address].IsReplaced(sender.incarnation)) {
+    if (incarnations_[sender.peer_address].IsCurrent(sender.incarnation)) {
       OnPeerDisconnected(sender.peer_address);
     }
   }
