--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -156,7 +156,7 @@
 }
 
 // Rows that another writer has left in the tables of members and pools.
-class PoolFleetOddRowsTest : public PoolFleetTest {
+class PoolFleetMalformedRowsTest : public PoolFleetTest {
  protected:
   static std::string Pack(const auto& value) {
     msgpack::sbuffer buf;
@@ -187,7 +187,8 @@
 };
 
 // Guards against a pool that gets no owner any more after its row was spoiled.
-TEST_F(PoolFleetOddRowsTest, Pool_RowIsSpoiledAndOwnerLost_IsServedAgain) {
+TEST_F(PoolFleetMalformedRowsTest,
+       Pool_RowIsSpoiledAndOwnerLost_IsServedAgain) {
   for (const auto& it : fleet_.RunnerNames()) {
     if (it.starts_with("d2")) {
       fleet_.PutRunner(it, "draining");
@@ -197,8 +198,9 @@
     const std::string owner = fleet_.OwnerOf("d1");
     fleet_.rows.Put("pools/d1", it);
     fleet_.rows.Put("members/nobody", it);
-    fleet_.Kill(owner == "" ? "d1n0" : owner);
-    fleet_.StartDaemon(owner == "" ? "d1n0" : owner);
+    const std::string restarted = owner.empty() ? "d1n0" : owner;
+    fleet_.Kill(restarted);
+    fleet_.StartDaemon(restarted);
     fleet_.loop.RunFor(absl::Seconds(5));
     const int before = Answers(JobStatus::kComplete);
     for (int i = 0; i < 4; ++i) {
