--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import random
 import socket
 import time
 import urllib.parse
@@ -28,9 +29,16 @@
 
 
 def free_ports(n):
-    sockets = [socket.socket() for _ in range(n)]
-    for it in sockets:
-        it.bind(("127.0.0.1", 0))
+    """Free ports below those that the kernel gives to outgoing connections, so that a closed one stays free."""
+    sockets = []
+    candidates = random.sample(range(20000, 32000), 2000)
+    while len(sockets) < n:
+        it = socket.socket()
+        try:
+            it.bind(("127.0.0.1", candidates.pop()))
+            sockets.append(it)
+        except OSError:
+            it.close()
     ports = [it.getsockname()[1] for it in sockets]
     for it in sockets:
         it.close()
