Add fields for priorities, racks, cold upstreams and free room to the interfaces

Change: the fields, their decoding in the adapter and their way through router, request and job table; nothing uses them yet, so that the parts can be written side by side. Messages grow at their ends only.

--- a/include/radishrail/job.h
+++ b/include/radishrail/job.h
@@ -70,6 +70,7 @@
   std::string payload;
   absl::Duration declared_run = absl::ZeroDuration();  // zero: not declared
   int declared_slots = 1;
+  std::string preferred_rack = {};  // where its data is stored; empty: none
   bool idempotent = false;
   // Number of failed runs after which the task fails. The next run starts only
   // after the previous one has certainly ended.
@@ -89,6 +90,7 @@
   absl::Duration promised = absl::ZeroDuration();
   // Class of the upstreams that may run it; empty: those of the environment.
   std::string upstream_class;
+  int priority = 0;  // of its environment; 0 is served first
   // Payload of tasks that have none of their own.
   std::string payload;
   // The caller waits for the answer and never requests it again, so the key is
--- a/include/radishrail/peer_message.h
+++ b/include/radishrail/peer_message.h
@@ -225,6 +225,15 @@
   MSGPACK_DEFINE(upstream);
 };
 
+// How many tasks of a size fit on the upstreams of a pool now, and when the
+// next one will.
+struct PoolRoom {
+  uint32_t slots = 0;  // of the task
+  uint32_t fitting = 0;
+  uint32_t next_ms = 0;
+  MSGPACK_DEFINE(slots, fitting, next_ms);
+};
+
 // The sender's claim to dispatch to the upstreams of a failure domain.
 struct PoolClaim {
   std::string pool;
@@ -234,7 +243,8 @@
   bool accepting = false;  // accepts new jobs
   uint32_t slots = 0;
   uint32_t busy_slots = 0;
-  uint32_t backlog_ms = 0;  // queued work divided by the capacity
+  uint32_t backlog_ms = 0;     // queued work divided by the capacity
+  std::vector<PoolRoom> room;  // by ascending `slots`
   MSGPACK_DEFINE(pool,
                  fence,
                  owner,
@@ -242,7 +252,8 @@
                  accepting,
                  slots,
                  busy_slots,
-                 backlog_ms);
+                 backlog_ms,
+                 room);
 };
 
 struct PoolRunFate {
@@ -285,7 +296,8 @@
   uint32_t count = 0;
   uint32_t slots = 0;
   uint32_t declared_ms = 0;
-  MSGPACK_DEFINE(count, slots, declared_ms);
+  std::string preferred_rack = {};  // empty: none
+  MSGPACK_DEFINE(count, slots, declared_ms, preferred_rack);
 };
 
 // A job sent by the entry daemon to the owner of a pool.
@@ -306,6 +318,7 @@
   // `sent_us`.
   int64_t arrived_us = 0;
   uint32_t contact_epoch = 0;  // as in `PoolStatus`, when the job arrived
+  int32_t priority = 0;        // of the environment; 0 is served first
   MSGPACK_DEFINE(request,
                  pool,
                  key,
@@ -319,7 +332,8 @@
                  document_version,
                  sent_us,
                  arrived_us,
-                 contact_epoch);
+                 contact_epoch,
+                 priority);
 };
 
 struct PoolJobReply {
--- a/include/radishrail/routed_documents.h
+++ b/include/radishrail/routed_documents.h
@@ -24,6 +24,7 @@
   std::shared_ptr<const VersionedDocument> document;
   std::string upstream_class;
   int max_failures = 1;
+  int priority = 0;  // of the environment; 0 is served first
   // Promised time of a job: `base` + `stretch` * its longest task.
   double stretch = 0;
   absl::Duration base = absl::ZeroDuration();
--- a/include/radishrail/scheduler.h
+++ b/include/radishrail/scheduler.h
@@ -26,6 +26,10 @@
   std::string kind;
   absl::Duration declared_run = absl::ZeroDuration();
   int slots = 1;
+  // Rack on which the task runs fastest; empty: none. Elsewhere it takes
+  // `remote_factor` times as long.
+  std::string preferred_rack = {};
+  double remote_factor = 1;
 };
 
 // The properties of a job that matter for scheduling.
@@ -40,6 +44,7 @@
   int team_share = 1;
   int team_max_running_tasks = 0;  // 0: no limit
   int max_queued_tasks = 0;        // of the environment; 0: no limit
+  int priority = 0;                // of the environment; 0 is served first
 };
 
 struct UpstreamCapacity {
@@ -50,6 +55,10 @@
   int slots = 0;          // slots that this daemon may use now
   bool accepting = true;  // false: leaving or ejected, gets no new tasks
   double speed = 1.0;     // learned, relative to the mean; higher is faster
+  std::string hardware_kind = {};
+  std::string rack = {};
+  // The upstream started a moment ago and is slow until then; monotonic.
+  absl::Time cold_until = absl::InfinitePast();
 };
 
 struct Placement {
@@ -62,10 +71,18 @@
   absl::Duration retry_after;
 };
 
+// How many tasks of a size fit now, and when the next one will.
+struct RoomForSize {
+  int slots = 0;  // of the task
+  int fitting = 0;
+  absl::Duration next = absl::ZeroDuration();  // zero while `fitting` > 0
+};
+
 struct SchedulerLoad {
   int slots = 0;                                  // of accepting upstreams
   int busy_slots = 0;                             // occupied by placed tasks
   absl::Duration backlog = absl::ZeroDuration();  // queued work per capacity
+  std::vector<RoomForSize> room;                  // by ascending `slots`
 };
 
 // Decides which jobs are admitted, which task starts next and on which
--- a/include/radishrail/store.h
+++ b/include/radishrail/store.h
@@ -57,6 +57,11 @@
   int slots = 0;
   // Distinguishes successive VMs with the same name; 0: unknown.
   int64_t incarnation = 0;
+  // Upstreams only; empty if the platform does not report them.
+  std::string hardware_kind = {};
+  std::string rack = {};
+  // Time for which a recently started upstream remains slow.
+  absl::Duration cold_remaining = absl::ZeroDuration();
 };
 
 // The platform's table, object store and VM list. Calls do not block; each
--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -328,6 +328,7 @@
                                    ? spec.promised
                                    : document.document.promised);
     demand.start_by = now + spec.deadline - kTransmissionMargin;
+    demand.priority = spec.priority;
     demand.max_queued_tasks = document.document.max_queued_tasks;
     if (const TeamQuota* team = document.document.FindTeam(spec.team)) {
       demand.team_share = team->share;
@@ -335,7 +336,8 @@
     }
     demand.tasks.reserve(spec.tasks.size());
     for (const auto& it : spec.tasks) {
-      demand.tasks.push_back({it.kind, it.declared_run, it.declared_slots});
+      demand.tasks.push_back(
+          {it.kind, it.declared_run, it.declared_slots, it.preferred_rack});
     }
     return demand;
   }
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -711,6 +711,7 @@
     job.payload = request.payload;
     job.deadline = absl::Milliseconds(request.deadline_ms);
     job.promised = absl::Milliseconds(request.promised_ms);
+    job.priority = request.priority;
     job.best_effort = true;
     for (size_t i = 0; i < request.steps.size(); ++i) {
       const PoolStep& step = request.steps[i];
@@ -718,6 +719,7 @@
       task.kind = request.environment;
       task.declared_run = absl::Milliseconds(step.declared_ms);
       task.declared_slots = static_cast<int>(step.slots);
+      task.preferred_rack = step.preferred_rack;
       task.max_failures = static_cast<int>(request.max_failures);
       task.restartable = true;
       for (uint32_t n = 0; n < step.count && job.tasks.size() < kMaxTasksPerJob;
--- a/src/pool_router.cc
+++ b/src/pool_router.cc
@@ -49,8 +49,9 @@
         static_cast<uint32_t>(absl::ToInt64Milliseconds(it.declared_run));
     const auto slots = static_cast<uint32_t>(it.declared_slots);
     if (steps.empty() || steps.back().slots != slots ||
-        steps.back().declared_ms != declared_ms) {
-      steps.push_back({0, slots, declared_ms});
+        steps.back().declared_ms != declared_ms ||
+        steps.back().preferred_rack != it.preferred_rack) {
+      steps.push_back({0, slots, declared_ms, it.preferred_rack});
     }
     ++steps.back().count;
   }
@@ -152,6 +153,7 @@
   }
   job.environment = route.document->document.environment;
   job.upstream_class = route.upstream_class;
+  job.priority = route.priority;
   job.promised = route.base + route.stretch * longest;
   for (auto& it : job.tasks) {
     it.kind = job.environment;
@@ -270,6 +272,7 @@
   request.promised_ms =
       static_cast<uint32_t>(absl::ToInt64Milliseconds(job.promised));
   request.max_failures = static_cast<uint32_t>(job.tasks.front().max_failures);
+  request.priority = job.priority;
   request.document_version = offer->document->version;
   request.sent_us = absl::ToUnixMicros(clock_.Monotonic());
   if (job.lease != nullptr) {
--- a/src/upstream_registry.cc
+++ b/src/upstream_registry.cc
@@ -215,7 +215,8 @@
                        entry->info.failure_domain,
                        entry->info.failure_domain == settings_.failure_domain,
                        entry->accepting() ? entry->usable_slots() : 0,
-                       entry->accepting(), entry->reported_speed});
+                       entry->accepting(), entry->reported_speed,
+                       entry->info.hardware_kind, entry->info.rack});
       }
     }
     dirty_.clear();
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -118,6 +118,25 @@
             VmState::kLeaving);
 }
 
+// Guards against losing what the placement of tasks needs, and against taking
+// labels of another form for a rack.
+TEST_F(WireTest, DecodeRunnerEntry_LabelsAndColdTime_ReturnsThem) {
+  std::string entry = Entry("ready");
+  entry.insert(1, R"("labels":["a","r1-2"],"coldRemainingMs":1500,)");
+  const auto vm = DecodeRunnerEntry("i-1", entry, &error_);
+  ASSERT_TRUE(vm.has_value()) << error_.ToString();
+  EXPECT_EQ(vm->hardware_kind, "a");
+  EXPECT_EQ(vm->rack, "r1-2");
+  EXPECT_EQ(vm->cold_remaining, absl::Milliseconds(1500));
+  for (const char* it : {"{}", "[]", "[1,2]", "\"r1-2\"", "[\"a\",null]"}) {
+    entry = Entry("ready");
+    entry.insert(1, absl::StrCat("\"labels\":", it, ","));
+    const auto other = DecodeRunnerEntry("i-1", entry, &error_);
+    ASSERT_TRUE(other.has_value()) << it;
+    EXPECT_EQ(other->rack, "") << it;
+  }
+}
+
 // Guards against using a runner whose entry another process has overwritten.
 TEST_F(WireTest, DecodeRunnerEntry_Malformed_Fails) {
   for (const std::string& it :
