Evacuate failure domains on an operator's request

Cause: the row op/evacuate/ZONE was not read; tasks went on starting in the zone. Change: the watch of the configuration follows all rows of operators, with the calls that it made before. Status messages carry the highest version, and all states only to a peer that has a lower one. Entry daemons offer no job to an evacuated domain; its owner admits and places nothing there, refuses queued jobs as not run and ends partly started jobs with queued tasks as unknown. The pool keeps its owner, and running tasks may end. Logs, two gauges and a counter show the course. Ruled out: an own message type and an own watch, which cost calls or messages; a new error code, which daemons of the release before refuse to decode.

--- a/include/radishrail/job_controller.h
+++ b/include/radishrail/job_controller.h
@@ -69,6 +69,11 @@
   bool Cancel(std::string_view key,
               ErrorCode reason = ErrorCode::kCancelled,
               std::string_view cause = {});
+  // Ends all jobs that have queued tasks, since no task may be placed for long.
+  // Those of which no task was dispatched are refused as not run; of the others
+  // the running tasks are stopped, and the outcome is unknown. Returns the
+  // number of jobs.
+  size_t EndQueuedJobs(const std::string& detail);
   // Keys of the jobs in progress whose lease expires soon. Cancel them, so that
   // their runs are stopped before.
   std::vector<std::string> JobsWithEndingLease() const;
--- a/include/radishrail/leased_upstream_client.h
+++ b/include/radishrail/leased_upstream_client.h
@@ -58,7 +58,7 @@
   struct OwnedRunner {
     VmInfo info;
     uint64_t fence = 0;
-    bool accepting = true;  // false: its pool is about to be released
+    bool accepting = true;  // false: gets no tasks, its runs may end
   };
   // Replaces the list of runners. Runs on runners that are no longer in it, or
   // whose address or fence changed, are reported as unknown.
@@ -77,6 +77,7 @@
   // Sends the orders that are due and returns the time of the next ones.
   absl::Time Tick();
   size_t runs() const;
+  size_t RunsIn(const std::string& failure_domain) const;
 
  private:
   class Impl;
--- a/include/radishrail/peer_message.h
+++ b/include/radishrail/peer_message.h
@@ -265,6 +265,14 @@
   MSGPACK_DEFINE(job_key, task_id, vm, fate, incarnation);
 };
 
+// State of an operator's request to evacuate a failure domain.
+struct PoolEvacuation {
+  std::string domain;
+  int64_t version = 0;  // of the store, as of which the state is known
+  bool active = false;  // false: the request is withdrawn
+  MSGPACK_DEFINE(domain, version, active);
+};
+
 // Sent several times per second: shows that the sender is alive, which pools it
 // owns and which configuration version it has.
 struct PoolStatus {
@@ -282,13 +290,19 @@
   // Of the jobs that `client_contact_us` renews: it rises when the sender may
   // have lost clients without noticing it.
   uint32_t contact_epoch = 0;
+  // Highest version among the evacuations that the sender knows.
+  int64_t evacuation_version = 0;
+  // All evacuations that the sender knows, if the receiver misses some.
+  std::vector<PoolEvacuation> evacuations;
   MSGPACK_DEFINE(claims,
                  document_version,
                  sent_us,
                  oldest_request,
                  run_fates,
                  client_contact_us,
-                 contact_epoch);
+                 contact_epoch,
+                 evacuation_version,
+                 evacuations);
 };
 
 // Identical tasks of a job.
--- a/include/radishrail/pool_dispatcher.h
+++ b/include/radishrail/pool_dispatcher.h
@@ -64,6 +64,14 @@
   bool Cancel(const std::string& key,
               ErrorCode reason,
               const CancelCause& cause = {});
+  // As `JobController::EndQueuedJobs`.
+  size_t EndQueuedJobs(const std::string& detail) {
+    return jobs_.EndQueuedJobs(detail);
+  }
+  // Number of tasks on the runners of a failure domain.
+  size_t RunsIn(const std::string& failure_domain) const {
+    return client_.RunsIn(failure_domain);
+  }
   std::vector<std::string> JobsWithEndingLease() const {
     return jobs_.JobsWithEndingLease();
   }
--- a/include/radishrail/pool_node.h
+++ b/include/radishrail/pool_node.h
@@ -28,6 +28,10 @@
 struct PoolNodeCodec {
   std::string runner_prefix;  // key prefix of runner rows
   std::string documents_key;  // key of the configuration row
+  // Key prefix of all rows that operators write, including `documents_key`.
+  std::string operator_prefix;
+  // Key prefix of the rows that request the evacuation of a failure domain.
+  std::string evacuation_prefix;
   DocumentsParser parse_documents;
   // Decodes the row of a runner, which other processes write; nullopt if it is
   // malformed.
--- a/include/radishrail/pool_router.h
+++ b/include/radishrail/pool_router.h
@@ -6,8 +6,10 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -68,6 +70,10 @@
   // Stores the load of a pool from a claim of its owner. The load is as old as
   // the message that brought it; `PoolLoad::reported` is the time of receipt.
   void OnClaim(const PoolClaim& claim);
+  // Offers no job to the pools of these failure domains from now on.
+  void SetEvacuated(std::set<std::string> domains) {
+    evacuated_ = std::move(domains);
+  }
   // Fails jobs whose owner is unresponsive or replaced, or whose deadline has
   // passed.
   void Tick();
@@ -115,6 +121,8 @@
   std::optional<PoolClaim> ChoosePool(const Offer& offer) const;
   absl::Duration SilencePenalty(const std::string& pool,
                                 const PoolLoad& load) const;
+  // Answer to a job that no pool can be offered.
+  JobAnswer NoPoolAnswer(const JobSpec& job) const;
   void MakeOffer(const OfferPointer& offer, const PoolClaim& pool);
   void Answer(const OfferPointer& offer, const JobAnswer& answer);
   void Forward(const PoolClaim& owner, const OfferPointer& offer);
@@ -149,6 +157,7 @@
   // Peers at which jobs were given up, and until when they are told so.
   absl::flat_hash_map<std::string, absl::Time> given_up_until_;
   absl::flat_hash_map<std::string, PoolLoad> loads_;
+  std::set<std::string> evacuated_;
 };
 
 }  // namespace radishrail
--- a/include/radishrail/store_watcher.h
+++ b/include/radishrail/store_watcher.h
@@ -44,6 +44,8 @@
   void TakeSnapshots(absl::Duration interval);
   // Takes a snapshot at once and ignores the answer to a pending call.
   void Refresh() { TakeSnapshot(); }
+  // Version of the store as of which rows have been read; valid in `on_rows`.
+  int64_t version() const { return version_; }
   // False from the first failed call until the next answer.
   bool store_reachable() const { return store_reachable_; }
 
--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -200,6 +200,38 @@
     return true;
   }
 
+  size_t EndQueuedJobs(const std::string& detail) {
+    const CallScope scope(*this);
+    std::vector<uint64_t> numbers;
+    for (const auto& [number, job] : jobs_) {
+      if (job->queued > 0 && job->error.ok()) {
+        numbers.push_back(number);
+      }
+    }
+    // Ordered, so that tests with a fixed seed are deterministic.
+    std::sort(numbers.begin(), numbers.end());
+    size_t ended = 0;
+    for (const uint64_t number : numbers) {
+      // Stopping the runs of one job may end another.
+      Job* job = FindJob(number);
+      if (job == nullptr || job->queued == 0 || !job->error.ok()) {
+        continue;
+      }
+      ++ended;
+      metrics_.refused.Add(job->dispatched ? 0 : 1);
+      RecordEvent(job->dispatched ? EventType::kJobCancelled
+                                  : EventType::kJobRefused,
+                  job->spec.key, "", "", detail);
+      job->error = {
+          job->dispatched ? ErrorCode::kOutcomeUnknown : ErrorCode::kNoOwner,
+          Step::kQueue, "", detail};
+      DropQueued(*job);
+      StopRunning(*job);
+      EndIfFinished(*job);
+    }
+    return ended;
+  }
+
   void Tick() {
     const CallScope scope(*this);
     ExpireJobs();
@@ -973,6 +1005,9 @@
                            std::string_view cause) {
   return impl_->Cancel(key, reason, cause);
 }
+size_t JobController::EndQueuedJobs(const std::string& detail) {
+  return impl_->EndQueuedJobs(detail);
+}
 std::vector<std::string> JobController::JobsWithEndingLease() const {
   return impl_->JobsWithEndingLease();
 }
--- a/src/leased_upstream_client.cc
+++ b/src/leased_upstream_client.cc
@@ -258,6 +258,14 @@
     }
     return n;
   }
+  size_t RunsIn(const std::string& failure_domain) const {
+    size_t n = 0;
+    for (const auto& [vm, runner] : runners_) {
+      n += runner->info.failure_domain == failure_domain ? runner->runs.size()
+                                                         : 0;
+    }
+    return n;
+  }
 
  private:
   using RunnerPointer = std::shared_ptr<Runner>;
@@ -1117,5 +1125,8 @@
 size_t LeasedUpstreamClient::runs() const {
   return impl_->runs();
 }
+size_t LeasedUpstreamClient::RunsIn(const std::string& failure_domain) const {
+  return impl_->RunsIn(failure_domain);
+}
 
 }  // namespace radishrail
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -1,6 +1,7 @@
 #include "radishrail/pool_node.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <exception>
 #include <iterator>
@@ -14,6 +15,7 @@
 #include "incarnation_history.h"
 #include "owner_choice.h"
 #include "radishrail/decision_log.h"
+#include "radishrail/evacuation_table.h"
 #include "radishrail/job_answers.h"
 #include "radishrail/log.h"
 #include "radishrail/pool_dispatcher.h"
@@ -73,6 +75,9 @@
 // be unable to claim it.
 constexpr absl::Duration kHandOverInterval = absl::Seconds(30);
 constexpr absl::Duration kPullInterval = absl::Milliseconds(400);
+// Interval in which more runners of a pool are used after its evacuation.
+constexpr absl::Duration kReturnStep = absl::Milliseconds(200);
+constexpr char kEvacuated[] = "the failure domain is being evacuated";
 
 std::string EncodeMember(const MemberRecord& member) {
   msgpack::sbuffer buf;
@@ -106,6 +111,7 @@
   std::shared_ptr<ClientContact> client_contact =
       std::make_shared<ClientContact>();
   int64_t document_version = 0;
+  int64_t evacuation_version = 0;
   // The peer has given up its requests with lower numbers.
   uint64_t oldest_request = 0;
   absl::Time status_sent_at = absl::InfinitePast();
@@ -195,15 +201,21 @@
                           runners_.OnRows(rows, is_snapshot);
                           ApplyRunners();
                         }),
-        document_watcher_(codec_.documents_key,
+        operator_watcher_(codec_.operator_prefix,
                           settings.document_watch_wait,
                           env.clock,
                           env.store,
                           env.executor,
                           env.random,
-                          [this](const std::vector<Row>& rows, bool) {
+                          [this](const std::vector<Row>& rows,
+                                 bool is_snapshot) {
                             OnDocumentRows(rows);
+                            OnEvacuations(evacuations_.OnRows(
+                                              rows, is_snapshot,
+                                              operator_watcher_.version()),
+                                          "store");
                           }),
+        evacuations_(codec_.evacuation_prefix, env.clock),
         runners_(
             env.clock,
             codec_.parse_runner,
@@ -214,6 +226,17 @@
         document_version_(
             env.metrics.gauge("radishrail_document_version",
                               "Version of the configuration in force")),
+        evacuated_domains_(
+            env.metrics.gauge("radishrail_evacuated_domains",
+                              "Failure domains under evacuation")),
+        evacuation_runs_(
+            env.metrics.gauge("radishrail_evacuation_runs",
+                              "Tasks that run in owned pools under "
+                              "evacuation")),
+        evacuated_jobs_(
+            env.metrics.counter("radishrail_evacuation_jobs_ended_total",
+                                "Jobs with queued tasks that were ended since "
+                                "their pool was evacuated")),
         replaced_senders_(env.metrics.counter(
             "radishrail_peer_messages_replaced_total",
             "Messages of replaced incarnations of peers, ignored")) {
@@ -222,7 +245,7 @@
   }
 
   void Start() {
-    document_watcher_.Start();
+    operator_watcher_.Start();
     runner_watcher_.Start();
     JoinMembers();
   }
@@ -237,6 +260,7 @@
     router_.Tick();
     EndJobsWithEndingLease();
     ExpireRunners();
+    AdvanceEvacuations(now);
     ExpireCancels(now);
     SendStatus(now);
     PullDocuments(now);
@@ -535,6 +559,10 @@
     PoolStatus status = MakeStatus();
     for (const auto& it : due) {
       status.oldest_request = router_.OldestRequestAt(it);
+      status.evacuations =
+          peers_[it].evacuation_version < status.evacuation_version
+              ? evacuations_.States()
+              : std::vector<PoolEvacuation>();
       env_.transport.Send(it, status);
     }
     for (const auto& it : status.claims) {
@@ -571,6 +599,7 @@
     status.client_contact_us = absl::ToUnixMicros(client_contact_->last);
     status.contact_epoch = client_contact_->epoch;
     status.document_version = documents_.has_value() ? documents_->version : 0;
+    status.evacuation_version = evacuations_.version();
     const SchedulerLoad load = dispatcher_.load();
     for (const auto& it : ownership_.Pools()) {
       const uint64_t fence = ownership_.OwnedFence(it);
@@ -582,7 +611,8 @@
       claim.fence = fence;
       claim.owner = settings_.vm;
       claim.address = settings_.peer_address;
-      claim.accepting = !handing_over_ && !returning_.contains(it);
+      claim.accepting = !handing_over_ && !returning_.contains(it) &&
+                        !evacuations_.IsActive(it);
       claim.slots = static_cast<uint32_t>(std::max(load.slots, 0));
       claim.busy_slots = static_cast<uint32_t>(std::max(load.busy_slots, 0));
       claim.backlog_ms =
@@ -660,6 +690,8 @@
         std::max(client_contact,
                  LocalTime(peer, status.client_contact_us, status.sent_us));
     peer.document_version = status.document_version;
+    peer.evacuation_version = status.evacuation_version;
+    OnEvacuations(evacuations_.OnPeer(status.evacuations), peer.record.vm);
     for (const auto& it : status.run_fates) {
       dispatcher_.OnPeerFate({it.job_key, it.task_id, it.vm, it.incarnation,
                               static_cast<UpstreamFate>(it.fate)});
@@ -694,6 +726,9 @@
       return {ErrorCode::kNoOwner, Step::kOwnership, "",
               "this daemon does not own the pool"};
     }
+    if (evacuations_.IsActive(request.pool)) {
+      return {ErrorCode::kNoOwner, Step::kOwnership, "", kEvacuated};
+    }
     return {};
   }
 
@@ -951,20 +986,36 @@
 
   void ApplyRunners() {
     std::set<std::string> pools = {settings_.failure_domain};
+    std::map<std::string, int> runners_to_use = UsableRunners();
     std::vector<LeasedUpstreamClient::OwnedRunner> owned;
     for (const auto& [key, runner] : runners_.runners()) {
-      pools.insert(runner.info.failure_domain);
-      const uint64_t fence = ownership_.OwnedFence(runner.info.failure_domain);
+      const std::string& pool = runner.info.failure_domain;
+      pools.insert(pool);
+      const uint64_t fence = ownership_.OwnedFence(pool);
       if (fence != 0) {
         owned.push_back({runner.info, fence,
                          !runners_.is_awaiting_rows() &&
-                             !returning_.contains(runner.info.failure_domain)});
+                             !returning_.contains(pool) &&
+                             runners_to_use[pool]-- > 0});
       }
     }
     ownership_.SetPools({pools.begin(), pools.end()});
     dispatcher_.SetRunners(std::move(owned));
   }
 
+  // Number of runners that may get tasks, by failure domain.
+  std::map<std::string, int> UsableRunners() const {
+    std::map<std::string, int> runners;
+    for (const auto& [key, runner] : runners_.runners()) {
+      ++runners[runner.info.failure_domain];
+    }
+    for (auto& [pool, number] : runners) {
+      number =
+          static_cast<int>(std::ceil(number * evacuations_.UsableShare(pool)));
+    }
+    return runners;
+  }
+
   void OnOwnerChanged(const std::string& pool) {
     if (ownership_.OwnedFence(pool) != 0) {
       Log(LogLevel::kInfo, "pool acquired",
@@ -983,6 +1034,96 @@
     }
   }
 
+  // --- Evacuations ---
+
+  void OnEvacuations(const std::vector<EvacuationTable::Change>& changes,
+                     const std::string& source) {
+    if (changes.empty()) {
+      return;
+    }
+    for (const auto& it : changes) {
+      Log(LogLevel::kInfo,
+          it.active ? "evacuation requested" : "evacuation withdrawn",
+          {{"failure_domain", it.domain},
+           {"row_version", absl::StrCat(it.version)},
+           {"source", source}});
+      if (it.active && ownership_.OwnedFence(it.domain) != 0) {
+        evacuating_.try_emplace(it.domain, env_.clock.Monotonic());
+      }
+    }
+    const std::set<std::string> active = evacuations_.ActiveDomains();
+    evacuated_domains_.Set(static_cast<int64_t>(active.size()));
+    router_.SetEvacuated(active);
+    OnOwnershipChanged();
+  }
+
+  void AdvanceEvacuations(absl::Time now) {
+    if (next_return_step_ <= now && evacuations_.IsReturning()) {
+      next_return_step_ = now + kReturnStep;
+      returning_use_ = true;
+      ApplyRunners();
+    } else if (returning_use_ && !evacuations_.IsReturning()) {
+      returning_use_ = false;
+      ApplyRunners();
+      Log(LogLevel::kInfo, "all runners are used again after an evacuation");
+    }
+    const std::set<std::string> active = evacuations_.ActiveDomains();
+    if (!active.empty()) {
+      EndQueuedJobs();
+    }
+    if (!active.empty() || !evacuating_.empty()) {
+      ReportEvacuations(active, now);
+    }
+  }
+
+  // A daemon with several pools places queued tasks in the others.
+  void EndQueuedJobs() {
+    bool owns_evacuated = false;
+    for (const auto& it : ownership_.Pools()) {
+      if (ownership_.OwnedFence(it) == 0) {
+        continue;
+      }
+      if (!evacuations_.IsActive(it)) {
+        return;
+      }
+      owns_evacuated = true;
+    }
+    const size_t ended =
+        owns_evacuated ? dispatcher_.EndQueuedJobs(kEvacuated) : 0;
+    if (ended > 0) {
+      evacuated_jobs_.Add(ended);
+      Log(LogLevel::kInfo, "queued jobs ended by an evacuation",
+          {{"jobs", absl::StrCat(ended)}});
+    }
+  }
+
+  void ReportEvacuations(const std::set<std::string>& active, absl::Time now) {
+    size_t total = 0;
+    for (const auto& it : active) {
+      const size_t runs =
+          ownership_.OwnedFence(it) != 0 ? dispatcher_.RunsIn(it) : 0;
+      total += runs;
+      if (runs > 0) {
+        evacuating_.try_emplace(it, now);
+      }
+    }
+    evacuation_runs_.Set(static_cast<int64_t>(total));
+    std::erase_if(evacuating_, [&](const auto& it) {
+      if (!evacuations_.IsActive(it.first) ||
+          ownership_.OwnedFence(it.first) == 0) {
+        return true;
+      }
+      if (dispatcher_.RunsIn(it.first) > 0) {
+        return false;
+      }
+      Log(LogLevel::kInfo, "evacuation complete: no task runs",
+          {{"failure_domain", it.first},
+           {"took_ms",
+            absl::StrCat(absl::ToInt64Milliseconds(now - it.second))}});
+      return true;
+    });
+  }
+
   // --- Configuration ---
 
   void OnDocumentRows(const std::vector<Row>& rows) {
@@ -1138,9 +1279,18 @@
   PoolDispatcher dispatcher_;
   PoolRouter router_;
   StoreWatcher runner_watcher_;
-  StoreWatcher document_watcher_;
+  StoreWatcher operator_watcher_;
+  EvacuationTable evacuations_;
+  // Owned pools under evacuation whose tasks have not all ended, with the time
+  // from which this daemon evacuates them.
+  std::map<std::string, absl::Time> evacuating_;
+  absl::Time next_return_step_ = absl::InfinitePast();
+  bool returning_use_ = false;  // the runners of a pool are taken back in steps
   internal::RunnerTable runners_;
   Gauge& document_version_;
+  Gauge& evacuated_domains_;
+  Gauge& evacuation_runs_;
+  Counter& evacuated_jobs_;
   std::map<std::string, Peer> peers_;  // by address
   // When each client that waits for an answer was last known to be connected.
   absl::Time clients_checked_ = absl::InfinitePast();
--- a/src/pool_router.cc
+++ b/src/pool_router.cc
@@ -27,6 +27,8 @@
 // Number of pools that a job is offered to before it is refused.
 constexpr size_t kMaxOffers = 3;
 constexpr absl::Duration kNoOwnerRetry = absl::Milliseconds(500);
+// Evacuations take longer than takeovers of pools.
+constexpr absl::Duration kEvacuatedRetry = absl::Seconds(1);
 // Exceeds the time after which an owner cancels the jobs of an entry daemon
 // that it does not hear.
 constexpr absl::Duration kGivenUpNoticeTime = absl::Seconds(2);
@@ -103,7 +105,7 @@
     const PoolClaim* owner = ownership_.Owner(name);
     const auto load = loads_.find(name);
     if (owner == nullptr || load == loads_.end() || !owner->accepting ||
-        load->second.slots == 0 ||
+        load->second.slots == 0 || evacuated_.contains(name) ||
         std::find(offer.tried.begin(), offer.tried.end(), name) !=
             offer.tried.end()) {
       continue;
@@ -170,16 +172,26 @@
   const auto pool = ChoosePool(*offer);
   if (!pool.has_value()) {
     without_owner_.Add();
-    Answer(offer, NotRunAnswer(offer->job,
-                               {ErrorCode::kNoOwner, Step::kOwnership, "",
-                                "no pool has a live owner that accepts jobs"},
-                               kNoOwnerRetry, TaskErrors::kOmitted));
+    Answer(offer, NoPoolAnswer(offer->job));
     return submission;
   }
   MakeOffer(offer, *pool);
   return submission;
 }
 
+JobAnswer PoolRouter::NoPoolAnswer(const JobSpec& job) const {
+  const Error error = {
+      ErrorCode::kNoOwner, Step::kOwnership, "",
+      evacuated_.empty()
+          ? "no pool has a live owner that accepts jobs"
+          : absl::StrCat("no pool has a live owner that accepts jobs; "
+                         "evacuated: ",
+                         absl::StrJoin(evacuated_, ", "))};
+  return NotRunAnswer(job, error,
+                      evacuated_.empty() ? kNoOwnerRetry : kEvacuatedRetry,
+                      TaskErrors::kOmitted);
+}
+
 void PoolRouter::MakeOffer(const OfferPointer& offer, const PoolClaim& pool) {
   offer->tried.push_back(pool.pool);
   PoolLoad& load = loads_[pool.pool];
--- a/tests/pool_fleet.h
+++ b/tests/pool_fleet.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "absl/strings/numbers.h"
@@ -95,11 +96,15 @@
         : fleet_(fleet), from_(std::move(from)) {}
     bool Send(const std::string& to, const PeerMessage& message) override {
       ++sent;
+      if (const auto* status = std::get_if<PoolStatus>(&message)) {
+        evacuations_sent += status->evacuations.size();
+      }
       fleet_.DeliverMessage(from_, to, message);
       return true;
     }
 
     int sent = 0;
+    size_t evacuations_sent = 0;  // states in status messages
 
    private:
     PoolFleet& fleet_;
@@ -429,6 +434,8 @@
     PoolNodeCodec codec;
     codec.runner_prefix = "servers/";
     codec.documents_key = "op/config";
+    codec.operator_prefix = "op/";
+    codec.evacuation_prefix = "op/evacuate/";
     codec.parse_documents = [](std::string_view body, Error*) {
       return ParseConfig(std::string(body));
     };
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -127,6 +127,7 @@
   int64_t incarnation = 1;
   absl::Time leaving_since = absl::InfiniteFuture();
   std::function<void()> on_crash = [] {};
+  int starts = 0;  // runs that began
 
   int64_t clock_ms() const {
     return absl::ToInt64Milliseconds(clock_.Monotonic() - started_) + 1000;
@@ -271,6 +272,7 @@
     highest_run_[task] = order.run;
     runs_[task] = std::move(run);
     ++log_.starts[order.job_key];
+    ++starts;
     if (clock_.Monotonic() - leaving_since > kDrainLimit) {
       log_.starts_on_leaving.push_back(absl::StrCat(
           task, " on ", name_, " after ",
