Give cold upstreams less work and learn nothing from their runs

Cause: the cold time in a runner's row was decoded and dropped. A cold runner got as much work as others, and its slow runs changed the learned run times and its learned speed. Change: a cold upstream is reported to the scheduler with half of its slots and a speed that rises from half to all; idle, it takes one task of any size. Runs that began while it was cold are not learned, and their time-outs are no failures; failed tasks still are. A row that is read again keeps the end that was computed when it was first read.

--- a/include/radishrail/scheduler.h
+++ b/include/radishrail/scheduler.h
@@ -59,6 +59,9 @@
   std::string rack = {};
   // The upstream started a moment ago and is slow until then; monotonic.
   absl::Time cold_until = absl::InfinitePast();
+  // An upstream without tasks takes one of up to this many slots even if it has
+  // fewer, so that large tasks also run while all upstreams are cold.
+  int slots_if_idle = 0;
 };
 
 struct Placement {
@@ -102,7 +105,8 @@
   virtual void Requeue(TaskRef task,
                        absl::Time not_before,
                        std::optional<UpstreamId> avoid) = 0;
-  // A placed task ended. `run_time` is nullopt unless it completed.
+  // A placed task ended. `run_time` is nullopt unless it completed on an
+  // upstream that was not cold.
   virtual void Finish(TaskRef task, std::optional<absl::Duration> run_time) = 0;
   // Removes all queued tasks of a job; amortised constant time per task. Placed
   // tasks keep their slots until `Finish`.
--- a/include/radishrail/store.h
+++ b/include/radishrail/store.h
@@ -62,6 +62,8 @@
   std::string rack = {};
   // Time for which a recently started upstream remains slow.
   absl::Duration cold_remaining = absl::ZeroDuration();
+  // The end of that time on the monotonic clock, set by the reader of the list.
+  absl::Time cold_until = absl::InfinitePast();
 };
 
 // The platform's table, object store and VM list. Calls do not block; each
--- a/include/radishrail/upstream_registry.h
+++ b/include/radishrail/upstream_registry.h
@@ -47,6 +47,7 @@
   double speed = 1.0;
   bool listed = true;      // in the latest VM list
   bool accepting = false;  // may receive new work
+  bool cold = false;       // runs that begin now are slow
 };
 
 // A change of an upstream's state, recorded in the timeline.
@@ -58,7 +59,9 @@
 };
 
 // Tracks the upstreams of the platform's VM list and what their results show:
-// learned speed, failures (ejection, then probation) and leaving.
+// learned speed, failures (ejection, then probation) and leaving. A cold
+// upstream is reported with fewer slots and a lower speed; runs that began
+// while it was cold change neither its learned speed nor count as time-outs.
 // Single-threaded.
 class UpstreamRegistry {
  public:
@@ -84,7 +87,7 @@
   std::optional<UpstreamView> FindByVm(std::string_view vm) const;
   std::vector<UpstreamView> All() const;
   // Capacities of the upstreams that changed since the last call, with all
-  // their slots, or `probation_slots` in probation.
+  // their slots, `probation_slots` in probation, or half of them while cold.
   std::vector<UpstreamCapacity> TakeChanges();
   // Changes of state since the last call, in order. `JobController::Tick`
   // writes them to the timeline.
--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -219,9 +219,9 @@
       }
       ++ended;
       metrics_.refused.Add(job->dispatched ? 0 : 1);
-      RecordEvent(job->dispatched ? EventType::kJobCancelled
-                                  : EventType::kJobRefused,
-                  job->spec.key, "", "", detail);
+      RecordEvent(
+          job->dispatched ? EventType::kJobCancelled : EventType::kJobRefused,
+          job->spec.key, "", "", detail);
       job->error = {
           job->dispatched ? ErrorCode::kOutcomeUnknown : ErrorCode::kNoOwner,
           Step::kQueue, "", detail};
@@ -475,6 +475,7 @@
     ++task.attempts;
     task.upstream = upstream.id;
     task.speed = upstream.speed;
+    task.cold = upstream.cold;
     task.started = now;
     if (task.attempts == 1) {
       metrics_.queue_time.Record(now - job.accepted);
@@ -590,8 +591,13 @@
   void OnDone(Job& job, TaskRef ref, TaskResult result) {
     Task& task = job.tasks[ref.task];
     metrics_.run_time.Record(result.run_time);
-    run_times_.Learn(task.kind, result.run_time, task.speed);
-    scheduler_.Finish(ref, result.run_time);
+    // A run on a cold upstream says nothing about later ones.
+    if (task.cold) {
+      scheduler_.Finish(ref, std::nullopt);
+    } else {
+      run_times_.Learn(task.kind, result.run_time, task.speed);
+      scheduler_.Finish(ref, result.run_time);
+    }
     task.output = std::move(result.output);
     FinishTask(job, ref.task, TaskStatus::kDone, {});
   }
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -201,20 +201,19 @@
                           runners_.OnRows(rows, is_snapshot);
                           ApplyRunners();
                         }),
-        operator_watcher_(codec_.operator_prefix,
-                          settings.document_watch_wait,
-                          env.clock,
-                          env.store,
-                          env.executor,
-                          env.random,
-                          [this](const std::vector<Row>& rows,
-                                 bool is_snapshot) {
-                            OnDocumentRows(rows);
-                            OnEvacuations(evacuations_.OnRows(
-                                              rows, is_snapshot,
-                                              operator_watcher_.version()),
-                                          "store");
-                          }),
+        operator_watcher_(
+            codec_.operator_prefix,
+            settings.document_watch_wait,
+            env.clock,
+            env.store,
+            env.executor,
+            env.random,
+            [this](const std::vector<Row>& rows, bool is_snapshot) {
+              OnDocumentRows(rows);
+              OnEvacuations(evacuations_.OnRows(rows, is_snapshot,
+                                                operator_watcher_.version()),
+                            "store");
+            }),
         evacuations_(codec_.evacuation_prefix, env.clock),
         runners_(
             env.clock,
--- a/src/runner_table.cc
+++ b/src/runner_table.cc
@@ -65,6 +65,13 @@
   }
   malformed_.erase(row.key);
   Runner& runner = runners_[row.key];
+  if (info->cold_remaining > absl::ZeroDuration()) {
+    // A row that is read again says how long the upstream was cold when the row
+    // was written.
+    info->cold_until = runner.row_version == row.version
+                           ? runner.info.cold_until
+                           : clock_.Monotonic() + info->cold_remaining;
+  }
   LogStateChange(runner, row, *info);
   runner = {*std::move(info), row.version, std::nullopt};
 }
--- a/src/upstream_pools.cc
+++ b/src/upstream_pools.cc
@@ -31,6 +31,7 @@
   upstream.home = capacity.same_failure_domain;
   upstream.domain = domain;
   upstream.slots = std::max(capacity.slots, 0);
+  upstream.slots_if_idle = std::max(capacity.slots_if_idle, upstream.slots);
   upstream.speed = std::max(capacity.speed, 1e-3);
   upstream.upstream_class = capacity.upstream_class;
   if (upstream.accepting) {
@@ -38,7 +39,7 @@
     capacity_ += upstream.slots * upstream.speed;
     top_speed_ = std::max(top_speed_, upstream.speed);
   }
-  largest_slots_ = std::max(largest_slots_, upstream.slots);
+  largest_slots_ = std::max(largest_slots_, upstream.slots_if_idle);
   if (moved) {
     if (std::find(seen_classes_.begin(), seen_classes_.end(),
                   capacity.upstream_class) == seen_classes_.end()) {
@@ -62,6 +63,7 @@
   }
   upstream.accepting = false;
   upstream.slots = 0;
+  upstream.slots_if_idle = 0;
   Update(id);
 }
 
@@ -226,8 +228,9 @@
 
 double UpstreamPools::LeafValue(PoolId pool, UpstreamId id) const {
   const Upstream& upstream = upstreams_[id];
-  if (!upstream.accepting ||
-      upstream.slots - upstream.occupied < pools_[pool].slots ||
+  const int free = upstream.occupied == 0 ? upstream.slots_if_idle
+                                          : upstream.slots - upstream.occupied;
+  if (!upstream.accepting || free < pools_[pool].slots ||
       (reserved_ && reserved_->upstream == id && reserved_->pool != pool)) {
     return TournamentTree::kNone;
   }
@@ -246,7 +249,8 @@
     domain.tree.Set(it.leaf, value);
     domain.usable += change;
     pool.usable += change;
-    const bool capable = upstream.accepting && upstream.slots >= pool.slots;
+    const bool capable =
+        upstream.accepting && upstream.slots_if_idle >= pool.slots;
     pool.capable += (capable ? 1 : 0) - (it.capable ? 1 : 0);
     it.capable = capable;
   }
--- a/src/upstream_pools.h
+++ b/src/upstream_pools.h
@@ -71,6 +71,7 @@
     bool home = false;
     uint32_t domain = 0;
     int slots = 0;
+    int slots_if_idle = 0;
     int occupied = 0;
     double speed = 1;
     std::string upstream_class;
--- a/src/upstream_registry.cc
+++ b/src/upstream_registry.cc
@@ -42,6 +42,11 @@
 // upstream only if it took more than this many times the learned run time of
 // its kind.
 constexpr double kTimeoutFactor = 4;
+// Shares of its slots and of its speed that a cold upstream is used with. The
+// platform does not say how slow it is. The share of the speed rises to 1 until
+// the upstream is no longer cold.
+constexpr double kColdSlotShare = 0.5;
+constexpr double kColdSpeed = 0.5;
 // Entries of unlisted upstreams are kept this long. This exceeds the longest
 // deadline, so that late results still find their upstream.
 constexpr absl::Duration kEntryRetention = absl::Minutes(20);
@@ -105,11 +110,29 @@
     return present() && health != UpstreamState::kEjected;
   }
   int usable_slots() const {
+    const int slots =
+        cold ? static_cast<int>(std::ceil(info.slots * kColdSlotShare))
+             : info.slots;
     return health == UpstreamState::kProbation
-               ? std::min(probation_slots, info.slots)
-               : info.slots;
+               ? std::min(probation_slots, slots)
+               : slots;
   }
   int probation_slots = 1;
+
+  bool cold = false;
+  absl::Time cold_since;  // when it was first seen to be cold
+  absl::Time cold_until = absl::InfinitePast();
+  double reported_cold_speed = 1;
+
+  double ColdSpeed(absl::Time now) const {
+    return !cold
+               ? 1
+               : kColdSpeed +
+                     (1 - kColdSpeed) *
+                         std::clamp(absl::FDivDuration(now - cold_since,
+                                                       cold_until - cold_since),
+                                    0.0, 1.0);
+  }
 };
 
 absl::string_view ToAbslView(std::string_view text) {
@@ -159,11 +182,15 @@
         result.error.code == ErrorCode::kUpstreamLeaving) {
       SetLeaving(*entry, "announced in a response");
     }
-    const ResultClass result_class = ClassifyResult(result, expected);
+    const bool was_cold =
+        clock_.Monotonic() - result.run_time < entry->cold_until;
+    // Without an expected run time, a time-out is not a failure.
+    const ResultClass result_class =
+        ClassifyResult(result, was_cold ? absl::ZeroDuration() : expected);
     if (result_class == ResultClass::kNeutral) {
       return;
     }
-    if (result_class == ResultClass::kSuccess) {
+    if (result_class == ResultClass::kSuccess && !was_cold) {
       LearnSpeed(*entry, result.run_time, expected);
     }
     LearnFailure(*entry, result_class == ResultClass::kFailure);
@@ -177,6 +204,7 @@
       SetHealth(entry, UpstreamState::kProbation, "ejection time elapsed");
     }
     ReadmitAboveCap();
+    UpdateCold(now);
   }
 
   std::optional<UpstreamView> Find(UpstreamId upstream) const {
@@ -211,12 +239,16 @@
       if (Entry* entry = FindEntry(id)) {
         entry->dirty = false;
         entry->reported_speed = Speed(*entry);
-        out.push_back({id, entry->info.upstream_class,
-                       entry->info.failure_domain,
-                       entry->info.failure_domain == settings_.failure_domain,
-                       entry->accepting() ? entry->usable_slots() : 0,
-                       entry->accepting(), entry->reported_speed,
-                       entry->info.hardware_kind, entry->info.rack});
+        entry->reported_cold_speed = entry->ColdSpeed(clock_.Monotonic());
+        out.push_back(
+            {id, entry->info.upstream_class, entry->info.failure_domain,
+             entry->info.failure_domain == settings_.failure_domain,
+             entry->accepting() ? entry->usable_slots() : 0, entry->accepting(),
+             entry->reported_speed * entry->reported_cold_speed,
+             entry->info.hardware_kind, entry->info.rack, entry->cold_until,
+             entry->cold && entry->health == UpstreamState::kHealthy
+                 ? entry->info.slots
+                 : 0});
       }
     }
     dirty_.clear();
@@ -238,8 +270,8 @@
   }
 
   UpstreamView MakeView(const Entry& entry) const {
-    return {entry.id,     entry.info,   entry.state(),
-            Speed(entry), entry.listed, entry.accepting()};
+    return {entry.id,     entry.info,        entry.state(), Speed(entry),
+            entry.listed, entry.accepting(), entry.cold};
   }
 
   void MarkDirty(Entry& entry) {
@@ -284,9 +316,45 @@
     by_vm_[info.vm] = entry->id;
     AddToSums(*entry, 1);
     MarkDirty(*entry);
+    SetColdUntil(*entry, info.cold_until);
     entries_.emplace(entry->id, std::move(entry));
   }
 
+  void SetColdUntil(Entry& entry, absl::Time cold_until) {
+    const absl::Time now = clock_.Monotonic();
+    // An upstream that is no longer cold is listed without a time; the end that
+    // was known before still tells which runs were slow.
+    if (cold_until <= now) {
+      return;
+    }
+    entry.cold_until = cold_until;
+    if (!entry.cold) {
+      entry.cold = true;
+      entry.cold_since = now;
+      cold_.insert(entry.id);
+      MarkDirty(entry);
+    }
+  }
+
+  void UpdateCold(absl::Time now) {
+    for (auto it = cold_.begin(); it != cold_.end();) {
+      Entry* entry = FindEntry(*it);
+      if (entry == nullptr || entry->cold_until <= now) {
+        if (entry != nullptr) {
+          entry->cold = false;
+          MarkDirty(*entry);
+        }
+        it = cold_.erase(it);
+        continue;
+      }
+      if (std::abs(entry->ColdSpeed(now) / entry->reported_cold_speed - 1) >
+          kReportedSpeedChange) {
+        MarkDirty(*entry);
+      }
+      ++it;
+    }
+  }
+
   void Update(const VmInfo& info) {
     Entry* entry = FindEntry(info.vm);
     if (entry == nullptr) {
@@ -312,6 +380,7 @@
       SetLeaving(*entry, "VM list");
     }
     entry->info.state = info.state;
+    SetColdUntil(*entry, info.cold_until);
     // Unchanged lines are not copied: at the target size, the list has 21,000
     // lines and is read once a second.
     if (entry->info.slots != info.slots ||
@@ -504,6 +573,7 @@
   absl::flat_hash_map<UpstreamId, std::unique_ptr<Entry>> entries_;
   absl::flat_hash_map<std::string, UpstreamId> by_vm_;
   absl::btree_set<std::pair<absl::Time, UpstreamId>> ejected_;
+  absl::btree_set<UpstreamId> cold_;
   std::vector<UpstreamId> dirty_;
   std::vector<UpstreamTransition> transitions_;
   UpstreamId next_id_ = 0;
--- a/tests/evacuation_fleet_test.cc
+++ b/tests/evacuation_fleet_test.cc
@@ -86,8 +86,7 @@
   fleet_.loop.RunFor(kEffect);
   fleet_.AddRunner("d1r9", "d1");
   for (const auto& name : fleet_.Names()) {
-    fleet_.daemon(name).runners->runners["d1r9"] =
-        fleet_.runners["d1r9"].get();
+    fleet_.daemon(name).runners->runners["d1r9"] = fleet_.runners["d1r9"].get();
   }
   fleet_.loop.RunFor(absl::Seconds(2));
   EXPECT_EQ(StartsDuringLoad("d1"), 0);
@@ -173,7 +172,8 @@
 
 // Guards against an owner that takes a pool over and does not know of its
 // evacuation.
-TEST_F(EvacuationFleetTest, OwnerKilledDuringEvacuation_NextOwnerStartsNothing) {
+TEST_F(EvacuationFleetTest,
+       OwnerKilledDuringEvacuation_NextOwnerStartsNothing) {
   Evacuate("d1");
   fleet_.loop.RunFor(absl::Milliseconds(100));
   const std::string owner = fleet_.OwnerOf("d1");
@@ -327,5 +327,30 @@
   }
 }
 
+// Guards against a cold runner that gets as many tasks as the warm ones, and
+// against slow runs there that make the daemon refuse jobs later.
+TEST_F(EvacuationFleetTest, ColdRunner_UnderLoad_GetsLessAndTeachesNothing) {
+  constexpr absl::Duration kColdTime = absl::Seconds(8);
+  FakeRunner& cold = *fleet_.runners["d1r0"];
+  cold.cold_until = fleet_.clock.Monotonic() + kColdTime;
+  fleet_.PutRunner("d1r0", "ready");
+  fleet_.loop.RunFor(absl::Seconds(1));
+  for (int i = 0; i < 50; ++i) {
+    fleet_.Submit(fleet_.OwnerOf("d1"), 5);
+    fleet_.loop.RunFor(absl::Milliseconds(120));
+  }
+  EXPECT_LE(cold.starts * 4, StartsIn("d1"));
+  EXPECT_LE(cold.starts, 6) << "more than one at a time";
+  fleet_.loop.RunFor(kColdTime);
+  const int before = cold.starts;
+  for (int i = 0; i < 50; ++i) {
+    fleet_.Submit(fleet_.OwnerOf("d1"), 8);
+    fleet_.loop.RunFor(absl::Milliseconds(120));
+  }
+  EXPECT_GE(cold.starts - before, 50) << "the runner is not used when warm";
+  fleet_.loop.RunFor(absl::Seconds(2));
+  EXPECT_EQ(fleet_.answers[JobStatus::kComplete], 100);
+}
+
 }  // namespace
 }  // namespace radishrail
--- a/tests/pool_fleet.h
+++ b/tests/pool_fleet.h
@@ -191,10 +191,12 @@
     leaving_since = state == "draining"
                         ? std::min(leaving_since, clock.Monotonic())
                         : absl::InfiniteFuture();
-    rows.Put(
-        absl::StrCat("servers/", name),
-        absl::StrCat(domain_of_runner_[name], ",", state, ",",
-                     runners[name]->incarnation, ",", runners[name]->capacity));
+    rows.Put(absl::StrCat("servers/", name),
+             absl::StrCat(domain_of_runner_[name], ",", state, ",",
+                          runners[name]->incarnation, ",",
+                          runners[name]->capacity, ",",
+                          absl::ToInt64Milliseconds(runners[name]->cold_until -
+                                                    clock.Monotonic())));
   }
   void SetCapacity(const std::string& name, size_t capacity) {
     FakeRunner& runner = *runners[name];
@@ -474,7 +476,7 @@
 
   static std::optional<VmInfo> ParseRunner(const Row& row, Error* error) {
     const std::vector<std::string> parts = absl::StrSplit(row.value, ',');
-    if (parts.size() != 4) {
+    if (parts.size() < 4) {
       return Fail(error, ErrorCode::kInvalidArgument, Step::kParsing,
                   "malformed row");
     }
@@ -486,6 +488,10 @@
     info.upstream_class = "svc";
     info.incarnation = parts[2][0] - '0';
     info.slots = parts[3][0] - '0';
+    int cold_ms = 0;
+    if (parts.size() > 4 && absl::SimpleAtoi(parts[4], &cold_ms)) {
+      info.cold_remaining = absl::Milliseconds(cold_ms);
+    }
     return info;
   }
 
--- a/tests/pool_router_test.cc
+++ b/tests/pool_router_test.cc
@@ -202,5 +202,24 @@
   EXPECT_FALSE(router_.Withdraw(last_key_));
 }
 
+// Guards against a job that is offered to an evacuated failure domain, and
+// against a refusal without a reason and a time to come back.
+TEST_F(PoolRouterTest, Submit_OnlyEvacuatedPools_IsRefusedWithRetryTime) {
+  ReceiveClaim();
+  router_.SetEvacuated({"d1"});
+  std::optional<JobAnswer> answer;
+  JobSpec job;
+  job.key = "job";
+  job.deadline = kDeadline;
+  job.tasks.resize(1);
+  router_.Submit(job, route_, [&](const JobAnswer& it) { answer = it; });
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->status, JobStatus::kNotRun);
+  EXPECT_EQ(answer->error.code, ErrorCode::kNoOwner);
+  EXPECT_NE(answer->error.detail.find("evacuated: d1"), std::string::npos);
+  EXPECT_GE(answer->retry_after, absl::Seconds(1));
+  EXPECT_TRUE(transport_.sent.empty());
+}
+
 }  // namespace
 }  // namespace radishrail
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -127,7 +127,9 @@
   int64_t incarnation = 1;
   absl::Time leaving_since = absl::InfiniteFuture();
   std::function<void()> on_crash = [] {};
-  int starts = 0;  // runs that began
+  int starts = 0;                             // runs that began
+  absl::Time cold_until = absl::UnixEpoch();  // runs that begin before are slow
+  absl::Duration cold_run_time = absl::Seconds(1);
 
   int64_t clock_ms() const {
     return absl::ToInt64Milliseconds(clock_.Monotonic() - started_) + 1000;
@@ -299,10 +301,13 @@
       log_.violations.push_back(
           absl::StrCat("two runs of ", task, " at the same time"));
     }
-    loop_.PostDelayed(
-        failing ? absl::Milliseconds(5) : run_time, [this, task, number] {
-          End(task, number, failing ? RunEnd::kFailed : RunEnd::kDone);
-        });
+    loop_.PostDelayed(failing                           ? absl::Milliseconds(5)
+                      : clock_.Monotonic() < cold_until ? cold_run_time
+                                                        : run_time,
+                      [this, task, number] {
+                        End(task, number,
+                            failing ? RunEnd::kFailed : RunEnd::kDone);
+                      });
   }
 
   void CrashUnder(const std::string& task, uint64_t number) {
--- a/tests/runner_table_test.cc
+++ b/tests/runner_table_test.cc
@@ -12,6 +12,7 @@
 class RunnerTableTest : public testing::Test {
  protected:
   static constexpr absl::Duration kLongAfter = absl::Seconds(10);
+  static constexpr absl::Duration kColdTime = absl::Seconds(5);
 
   static std::optional<VmInfo> Parse(const Row& row, Error* error) {
     if (row.value == "malformed") {
@@ -21,6 +22,9 @@
     VmInfo info;
     info.vm = row.key;
     info.state = row.value == "leaving" ? VmState::kLeaving : VmState::kLive;
+    if (row.value == "cold") {
+      info.cold_remaining = kColdTime;
+    }
     return info;
   }
 
@@ -106,5 +110,17 @@
   EXPECT_FALSE(table_.is_awaiting_rows());
 }
 
+// Guards against an upstream that stays cold since its unchanged row is read
+// again and again.
+TEST_F(RunnerTableTest, ColdRow_ReadAgain_KeepsEnd) {
+  table_.OnRows({{"r1", "cold", 1}}, true);
+  const absl::Time end = clock_.Monotonic() + kColdTime;
+  clock_.Advance(absl::Seconds(1));
+  table_.OnRows({{"r1", "cold", 1}}, true);
+  EXPECT_EQ(table_.runners().at("r1").info.cold_until, end);
+  table_.OnRows({{"r1", "cold", 2}}, false);
+  EXPECT_EQ(table_.runners().at("r1").info.cold_until, end + absl::Seconds(1));
+}
+
 }  // namespace
 }  // namespace radishrail::internal
--- a/tests/upstream_registry_test.cc
+++ b/tests/upstream_registry_test.cc
@@ -372,5 +372,63 @@
   }
 }
 
+class ColdUpstreamTest : public UpstreamRegistryTest {
+ protected:
+  static constexpr absl::Duration kColdTime = absl::Seconds(10);
+
+  ColdUpstreamTest() {
+    registry_.TakeChanges();
+    std::vector<VmInfo> vms = TestVms(10);
+    vms[0].cold_until = clock_.Monotonic() + kColdTime;
+    List(std::move(vms));
+  }
+};
+
+// Guards against a cold upstream that gets as much work as the others, and
+// against one that stays limited, or is loaded at once, when it is warm.
+TEST_F(ColdUpstreamTest, Capacity_WhileCold_IsReducedAndRises) {
+  const auto cold = Change(0);
+  ASSERT_TRUE(cold.has_value());
+  EXPECT_EQ(cold->slots, 4);
+  EXPECT_EQ(cold->slots_if_idle, 8);
+  EXPECT_NEAR(cold->speed, 0.5, 0.01);
+  Advance(kColdTime / 2);
+  const auto warmer = Change(0);
+  ASSERT_TRUE(warmer.has_value());
+  EXPECT_NEAR(warmer->speed, 0.75, 0.01);
+  Advance(kColdTime / 2);
+  const auto warm = Change(0);
+  ASSERT_TRUE(warm.has_value());
+  EXPECT_EQ(warm->slots, 8);
+  EXPECT_NEAR(warm->speed, 1, 0.01);
+}
+
+// Guards against an upstream that counts as slow after its cold time, also by
+// runs that began in it and ended later.
+TEST_F(ColdUpstreamTest, Runs_BegunWhileCold_DoNotChangeSpeed) {
+  for (int i = 0; i < 18; ++i) {
+    Advance(kColdTime / 10);
+    Done(0, kColdTime);  // the last of them began just before the end
+  }
+  EXPECT_NEAR(Speed(0), 1, 0.01);
+  Advance(kColdTime);
+  Done(0, 3 * kExpected);
+  EXPECT_LT(Speed(0), 0.9);
+}
+
+// Guards against a cold upstream that is ejected since its runs reach their
+// deadline, and against one that is kept although it fails tasks.
+TEST_F(ColdUpstreamTest, TimeOuts_WhileCold_AreNoFailuresButFailuresAre) {
+  for (int i = 0; i < 20; ++i) {
+    TaskResult result;
+    result.outcome = TaskOutcome::kUnknown;
+    result.error.code = ErrorCode::kDeadlineExceeded;
+    result.run_time = 10 * kExpected;
+    registry_.OnResult(0, result, kExpected);
+  }
+  EXPECT_EQ(State(0), UpstreamState::kHealthy);
+  Eject(0);
+}
+
 }  // namespace
 }  // namespace radishrail
