Test the job table on cold upstreams and on the end of queued jobs

Cause: the fleet test of a cold runner also passed with a job table that learned from its runs. Change: two tests of the job table; the fake scheduler counts run times. The fleet test states only what it shows.

--- a/tests/evacuation_fleet_test.cc
+++ b/tests/evacuation_fleet_test.cc
@@ -320,8 +320,8 @@
 }
 
 // Guards against a cold runner that gets as many tasks as the warm ones, and
-// against slow runs there that make the daemon refuse jobs later.
-TEST_F(EvacuationFleetTest, ColdRunner_UnderLoad_GetsLessAndTeachesNothing) {
+// against one that gets few when it is warm.
+TEST_F(EvacuationFleetTest, ColdRunner_UnderLoad_GetsLessUntilWarm) {
   constexpr absl::Duration kColdTime = absl::Seconds(8);
   FakeRunner& cold = *fleet_.runners["d1r0"];
   cold.cold_until = fleet_.clock.Monotonic() + kColdTime;
--- a/tests/job_controller_test.cc
+++ b/tests/job_controller_test.cc
@@ -9,6 +9,7 @@
 #include "fakes.h"
 #include "gtest/gtest.h"
 #include "job_fakes.h"
+#include "radishrail/job_answers.h"
 #include "radishrail/job_json.h"
 
 namespace radishrail {
@@ -914,5 +915,56 @@
   EXPECT_GT(statuses[JobStatus::kNotRun], 1000);
 }
 
+// Guards against a run-time model and a scheduler that take the run times of
+// cold upstreams for those of the kind of task.
+TEST_F(JobControllerTest, RunsOnColdUpstreams_Done_TeachNoRunTime) {
+  std::vector<VmInfo> vms = TestVms(2);
+  for (auto& it : vms) {
+    it.cold_until = clock_.Monotonic() + absl::Seconds(1);
+  }
+  upstreams_.OnVmList(vms);
+  const auto run_job = [this](const std::string& key, absl::Duration run) {
+    Submit(TestJob(key, 8));
+    jobs_.Tick();
+    for (int i = 0; i < 8; ++i) {
+      TaskResult result = Done();
+      result.run_time = run;
+      Respond(client_.calls.size() - 1 - i, result);
+    }
+  };
+  run_job("cold", absl::Seconds(1));
+  EXPECT_EQ(scheduler_.run_times, 0);
+  clock_.Advance(absl::Seconds(2));
+  upstreams_.Tick();
+  run_job("warm", absl::Milliseconds(100));
+  EXPECT_EQ(scheduler_.run_times, 8);
+  Submit(TestJob("next", 1));
+  jobs_.Tick();
+  EXPECT_NEAR(
+      absl::ToDoubleMilliseconds(client_.calls.back().start.expected_run), 100,
+      1);
+}
+
+// Guards against jobs that wait for an upstream which they will not get for
+// long, against one that is answered as not run although a task was started,
+// and against the end of a job that has all its tasks running.
+TEST_F(JobControllerTest, EndQueuedJobs_JobsOfEachKind_EndsThoseWithQueue) {
+  const size_t running = Submit(TestJob("running", 8));
+  const size_t partly = Submit(TestJob("partly", 16));
+  const size_t queued = Submit(TestJob("queued", 1));
+  jobs_.Tick();
+  EXPECT_EQ(jobs_.EndQueuedJobs("evacuated"), 2u);
+  ASSERT_TRUE(answers_[queued].has_value());
+  EXPECT_EQ(answers_[queued]->status, JobStatus::kNotRun);
+  EXPECT_TRUE(IsRefusal(*answers_[queued]));
+  EXPECT_FALSE(answers_[partly].has_value()) << "its runs have not ended";
+  for (size_t i = 0; i < client_.calls.size(); ++i) {
+    Respond(i, Done());
+  }
+  EXPECT_EQ(answers_[running]->status, JobStatus::kComplete);
+  EXPECT_EQ(answers_[partly]->status, JobStatus::kFailed);
+  EXPECT_EQ(answers_[partly]->error.code, ErrorCode::kOutcomeUnknown);
+}
+
 }  // namespace
 }  // namespace radishrail
--- a/tests/job_fakes.h
+++ b/tests/job_fakes.h
@@ -66,8 +66,8 @@
     delayed_.emplace(not_before, task);
     last_not_before = not_before;
   }
-  void Finish(TaskRef task,
-              std::optional<absl::Duration> /*run_time*/) override {
+  void Finish(TaskRef task, std::optional<absl::Duration> run_time) override {
+    run_times += run_time.has_value() ? 1 : 0;
     Release(task);
   }
   void Remove(uint64_t job) override { removed_.insert(job); }
@@ -86,6 +86,7 @@
   JobDemand last_demand;
   absl::Time last_not_before;
   int invalid_releases = 0;  // releases of tasks that hold no slot
+  int run_times = 0;         // ends of tasks with a run time
 
  private:
   static std::pair<uint64_t, uint32_t> Key(TaskRef task) {
