--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -200,6 +200,38 @@
     return true;
   }
 
+  size_t EndQueuedJobs(const std::string& detail) {
+    const CallScope scope(*this);
+    std::vector<uint64_t> numbers;
+    for (const auto& [number, job] : jobs_) {
+      if (job->queued > 0 && job->error.ok()) {
+        numbers.push_back(number);
+      }
+    }
+    // Ordered, so that tests with a fixed seed are deterministic.
+    std::sort(numbers.begin(), numbers.end());
+    size_t ended = 0;
+    for (const uint64_t number : numbers) {
+      // Stopping the runs of one job may end another.
+      Job* job = FindJob(number);
+      if (job == nullptr || job->queued == 0 || !job->error.ok()) {
+        continue;
+      }
+      ++ended;
+      metrics_.refused.Add(job->dispatched ? 0 : 1);
+      RecordEvent(
+          job->dispatched ? EventType::kJobCancelled : EventType::kJobRefused,
+          job->spec.key, "", "", detail);
+      job->error = {
+          job->dispatched ? ErrorCode::kOutcomeUnknown : ErrorCode::kNoOwner,
+          Step::kQueue, "", detail};
+      DropQueued(*job);
+      StopRunning(*job);
+      EndIfFinished(*job);
+    }
+    return ended;
+  }
+
   void Tick() {
     const CallScope scope(*this);
     ExpireJobs();
@@ -443,6 +475,7 @@
     ++task.attempts;
     task.upstream = upstream.id;
     task.speed = upstream.speed;
+    task.cold = upstream.cold;
     task.started = now;
     if (task.attempts == 1) {
       metrics_.queue_time.Record(now - job.accepted);
@@ -558,8 +591,13 @@
   void OnDone(Job& job, TaskRef ref, TaskResult result) {
     Task& task = job.tasks[ref.task];
     metrics_.run_time.Record(result.run_time);
-    run_times_.Learn(task.kind, result.run_time, task.speed);
-    scheduler_.Finish(ref, result.run_time);
+    // A run on a cold upstream says nothing about later ones.
+    if (task.cold) {
+      scheduler_.Finish(ref, std::nullopt);
+    } else {
+      run_times_.Learn(task.kind, result.run_time, task.speed);
+      scheduler_.Finish(ref, result.run_time);
+    }
     task.output = std::move(result.output);
     FinishTask(job, ref.task, TaskStatus::kDone, {});
   }
@@ -973,6 +1011,9 @@
                            std::string_view cause) {
   return impl_->Cancel(key, reason, cause);
 }
+size_t JobController::EndQueuedJobs(const std::string& detail) {
+  return impl_->EndQueuedJobs(detail);
+}
 std::vector<std::string> JobController::JobsWithEndingLease() const {
   return impl_->JobsWithEndingLease();
 }
