Take only a later life of a runner for its successor

The last report of a former life can reach the store after the first one of its successor; then all runs of the live runner were reported as crashed, and a second crash under a task ended its job. For a runner that returns under its old name, a late row with an earlier start no longer counts as a restart. Lists that runners send are compared as before.

--- a/src/leased_upstream_client.cc
+++ b/src/leased_upstream_client.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "absl/container/btree_map.h"
-#include "absl/container/flat_hash_set.h"
+#include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 #include "radishrail/log.h"
 #include "runner_contact.h"
@@ -192,6 +192,15 @@
   return {key.job_key, key.task_id, key.run, runner.info.vm, runner.fence};
 }
 
+// True if `later` is a later life of the process at the address of `former`.
+// The last report of a former life may reach the store after the first one of
+// its successor.
+bool IsSuccessor(const VmInfo& later, const VmInfo& former) {
+  return later.address == former.address &&
+         (later.incarnation == 0 || former.incarnation == 0 ||
+          later.incarnation > former.incarnation);
+}
+
 LostRun MakeLostRun(const RunKey& key, const Run& run) {
   return {key, run.incarnation, run.IsConfirmed()};
 }
@@ -339,7 +348,7 @@
   void ReportLostRuns(Runner& runner, bool crashed);
   // Reports all runs of an instance that has ended.
   void ReportCrash(Runner& runner);
-  // Reports the former runners whose address a new one has.
+  // Reports the former runners that a new one at their address succeeds.
   void ReportReplacedRunners(
       const absl::btree_map<std::string, RunnerPointer>& former,
       const std::vector<OwnedRunner>& runners);
@@ -940,14 +949,18 @@
 void LeasedUpstreamClient::Impl::ReportReplacedRunners(
     const absl::btree_map<std::string, RunnerPointer>& former,
     const std::vector<OwnedRunner>& runners) {
-  absl::flat_hash_set<std::string> new_addresses;
+  absl::flat_hash_map<std::string, std::vector<const VmInfo*>> new_runners;
   for (const auto& it : runners) {
     if (!former.contains(it.info.vm)) {
-      new_addresses.insert(it.info.address);
+      new_runners[it.info.address].push_back(&it.info);
     }
   }
   for (const auto& [vm, runner] : former) {
-    if (new_addresses.contains(runner->info.address)) {
+    const auto at_address = new_runners.find(runner->info.address);
+    if (at_address != new_runners.end() &&
+        std::any_of(
+            at_address->second.begin(), at_address->second.end(),
+            [&](const VmInfo* it) { return IsSuccessor(*it, runner->info); })) {
       ReportCrash(*runner);
     }
   }
--- a/src/runner_table.cc
+++ b/src/runner_table.cc
@@ -1,5 +1,6 @@
 #include "runner_table.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -66,6 +67,11 @@
   malformed_.erase(row.key);
   Runner& runner = runners_[row.key];
   LogStateChange(runner, row, *info);
+  // A row with an earlier start was written late by a former life under the
+  // same name. The runner has not restarted, so its runs have not ended.
+  if (info->address == runner.info.address) {
+    info->incarnation = std::max(info->incarnation, runner.info.incarnation);
+  }
   runner = {*std::move(info), row.version, std::nullopt};
 }
 
--- a/tests/leased_upstream_client_test.cc
+++ b/tests/leased_upstream_client_test.cc
@@ -211,6 +211,24 @@
   EXPECT_THAT(fates_, ElementsAre(UpstreamFate::kCrashed));
 }
 
+// Guards against sound runs that count as crashed when the last report of the
+// runner's former life reaches the store after the runner is back.
+TEST_F(LeasedUpstreamClientTest, Run_FormerLifeAppearsLate_ReportsNoCrash) {
+  runner_.run_time = absl::Seconds(2);
+  VmInfo live = MakeInfo("r1");
+  live.incarnation = 5;
+  client_.SetRunners({{live, kFence}});
+  Run(absl::Milliseconds(10));
+  Start("0.0.0");
+  Run(absl::Milliseconds(100));
+  VmInfo former = MakeInfo("r0");
+  former.incarnation = 4;
+  client_.SetRunners({{former, kFence}, {live, kFence}});
+  Run(absl::Seconds(3));
+  EXPECT_THAT(fates_, IsEmpty());
+  EXPECT_THAT(results_, ElementsAre(Pair("0.0.0", TaskOutcome::kDone)));
+}
+
 // Guards against a crash that counts against a task whose start order the
 // runner never received, since it had crashed before.
 TEST_F(LeasedUpstreamClientTest, Run_SentAfterCrash_IsUncertain) {
--- a/tests/runner_table_test.cc
+++ b/tests/runner_table_test.cc
@@ -20,6 +20,7 @@
     }
     VmInfo info;
     info.vm = row.key;
+    info.incarnation = static_cast<int64_t>(row.value.size());
     info.state = row.value == "leaving" ? VmState::kLeaving : VmState::kLive;
     return info;
   }
@@ -45,6 +46,19 @@
   EXPECT_FALSE(RemoveMissing(false));
 }
 
+// Guards against a sound runner that counts as restarted when the last report
+// of its former life under the same name reaches the store late.
+TEST_F(RunnerTableTest, Row_OfFormerLife_DoesNotCountAsRestart) {
+  const auto incarnation = [&] {
+    return table_.runners().at("r1").info.incarnation;
+  };
+  table_.OnRows({{"r1", "second", 1}}, true);
+  table_.OnRows({{"r1", "first", 2}}, false);
+  EXPECT_EQ(incarnation(), 6);
+  table_.OnRows({{"r1", "thirdly", 3}}, false);
+  EXPECT_EQ(incarnation(), 7);
+}
+
 // Guards against logs that grow with each reading of a row that another writer
 // left, and against a second odd row that is not reported.
 TEST_F(RunnerTableTest, Row_MalformedAgain_IsReportedOnce) {
