Notice a partition that follows soon after another one

Cause: a daemon trusts a gap in the messages of other domains as a partition only after ten messages without a gap. A cut less than about 0.4 s after the end of another one was not noticed in time, so jobs whose client's connection broke in it were renewed, and their repetition ran beside them. Change: after a gap that ended regular contact, the status of one owner outside is enough, since owners report ten times a second. Reports of idle daemons don't count for this; a domain that owns all pools hears no others.

--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -400,7 +400,8 @@
   }
 
   bool HearsOutside() const {
-    return outside_messages_ >= kRegularOutsideMessages;
+    return outside_messages_ >= kRegularOutsideMessages ||
+           (outside_resumed_ && outside_owner_heard_);
   }
 
   // Connections of clients outside may have been reset in a partition without a
@@ -410,8 +411,10 @@
     if (HearsOutside()) {
       client_contact_ = std::make_shared<ClientContact>(
           ClientContact{absl::InfinitePast(), client_contact_->epoch + 1});
+      outside_resumed_ = outside_messages_ >= kRegularOutsideMessages;
     }
     outside_messages_ = 0;
+    outside_owner_heard_ = false;
   }
 
   void UpdateClientContact(absl::Time now) {
@@ -655,6 +658,10 @@
     peer.oldest_request = std::max(peer.oldest_request, status.oldest_request);
     CancelGivenUpJobs(peer.record.peer_address, peer.oldest_request);
     OnContact(peer, sent);
+    outside_owner_heard_ =
+        outside_owner_heard_ ||
+        (peer.record.failure_domain != settings_.failure_domain &&
+         !status.claims.empty());
     absl::Time& client_contact = ContactOf(peer, status.contact_epoch)->last;
     client_contact =
         std::max(client_contact,
@@ -1148,6 +1155,11 @@
   absl::Time outside_contact_ = absl::InfinitePast();
   absl::Time outside_received_ = absl::InfinitePast();
   int64_t outside_messages_ = 0;  // without a gap between them
+  // The last gap followed regular messages. If an owner, which reports ten
+  // times a second, is heard after it, a further gap is a partition as well,
+  // also before there were many messages.
+  bool outside_resumed_ = false;
+  bool outside_owner_heard_ = false;  // since the last gap
   absl::Time last_tick_ = absl::InfinitePast();
   std::shared_ptr<ClientContact> client_contact_ =
       std::make_shared<ClientContact>();
--- a/tests/two_pools_test.cc
+++ b/tests/two_pools_test.cc
@@ -184,6 +184,24 @@
   });
 }
 
+// Guards against the same soon after another cut, when the domain has heard few
+// messages of others since.
+TEST_F(TwoPoolsTest, WholeDomain_IsCutOffAgain_JobRunsOnce) {
+  ExpectNoTwoRuns(CutOffEntry, [](Scene& scene) {
+    for (auto& [name, runner] : scene.fleet.runners) {
+      runner->run_time = kRunTime;
+    }
+    scene.fleet.loop.RunFor(absl::Seconds(3));
+    scene.CutOff("d1");
+    scene.fleet.loop.RunFor(absl::Milliseconds(900));
+    scene.fleet.Heal();
+    scene.fleet.loop.RunFor(absl::Milliseconds(150));
+    scene.fleet.job_deadline = kClientDeadline;
+    scene.job = scene.fleet.Submit("d1n0", 1);
+    scene.fleet.loop.RunFor(absl::Milliseconds(10));
+  });
+}
+
 // Guards against an entry daemon that reports a job again after a pause in
 // which the client disconnected, so that the owner learns of it late.
 TEST_F(TwoPoolsTest, EntryDaemon_PausesAsClientDisconnects_JobRunsOnce) {
