Keep jobs cancelled over restarts and cuts, and answer 410 only knowingly

A daemon that reached no owner, was new, or had taken over the pool of an owner that it did not hear answered 410, and told nobody later. Change: a daemon that acquires a pool asks its peers for cancelled keys before it accepts jobs (0.4 s at most). A key is sent to the owner of each pool until all have confirmed it; until then a DELETE is answered 503 with Retry-After, or 200 for a job that was stopped after 2.5 s. A pool taken over from an owner that is not heard confirms nothing before its runners obey the new fence.

--- a/include/radishrail/leased_upstream_client.h
+++ b/include/radishrail/leased_upstream_client.h
@@ -67,6 +67,8 @@
   // True if the runner is reachable, has no active runs that this daemon does
   // not track, such as those of a former owner, and its lease can be extended.
   bool Usable(const std::string& vm) const;
+  // True if the runner has answered a look at its runs under the present fence.
+  bool HasAnswered(const std::string& vm) const;
 
   bool CanStart(const std::string& vm, const JobLease& lease) const override;
   void Start(TaskStart start, Callback callback) override;
--- a/include/radishrail/peer_message.h
+++ b/include/radishrail/peer_message.h
@@ -370,7 +370,9 @@
 struct PoolJobCancelReply {
   uint64_t request = 0;
   bool known = false;  // the receiver had the job
-  MSGPACK_DEFINE(request, known);
+  // The receiver has taken a pool over, and the former owner may still act.
+  bool in_doubt = false;
+  MSGPACK_DEFINE(request, known, in_doubt);
 };
 
 // Confirms to the sender of messages that its connection still reaches the
@@ -381,6 +383,24 @@
   MSGPACK_DEFINE(messages);
 };
 
+// Asks a peer for the keys of jobs that clients cancelled.
+struct CancelledKeysRequest {
+  uint64_t request = 0;
+  MSGPACK_DEFINE(request);
+};
+
+struct CancelledKey {
+  std::string key;
+  uint32_t age_ms = 0;  // of the cancellation
+  MSGPACK_DEFINE(key, age_ms);
+};
+
+struct CancelledKeysReply {
+  uint64_t request = 0;
+  std::vector<CancelledKey> keys;  // oldest first
+  MSGPACK_DEFINE(request, keys);
+};
+
 // New types are added at the end: the index is the type on the wire.
 using PeerMessage = std::variant<Hello,
                                  Heartbeat,
@@ -405,7 +425,9 @@
                                  PoolJobReply,
                                  PoolJobCancel,
                                  PoolJobCancelReply,
-                                 Received>;
+                                 Received,
+                                 CancelledKeysRequest,
+                                 CancelledKeysReply>;
 
 // Maximum payload of one frame; larger transfers are sent in parts.
 inline constexpr size_t kMaxPeerFrameBytes = 8 * 1024 * 1024;
--- a/include/radishrail/pool_dispatcher.h
+++ b/include/radishrail/pool_dispatcher.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "radishrail/cancelled_keys.h"
 #include "radishrail/clock.h"
 #include "radishrail/crash_table.h"
 #include "radishrail/decision_log.h"
@@ -64,6 +65,19 @@
   bool Cancel(const std::string& key,
               ErrorCode reason,
               const CancelCause& cause = {});
+  // True if the caller of a job with the key has cancelled it.
+  bool IsCancelled(const std::string& key) const {
+    return cancelled_.Contains(key);
+  }
+  // Keys that callers have cancelled, to be sent to peers and received from
+  // them.
+  std::vector<CancelledKey> KeysForPeer() const { return cancelled_.Encode(); }
+  void OnPeerCancelledKeys(const std::vector<CancelledKey>& keys);
+  // True if the runner has answered under the present fence of its pool, so
+  // that it obeys no former owner.
+  bool HasAnswered(const std::string& vm) const {
+    return client_.HasAnswered(vm);
+  }
   std::vector<std::string> JobsWithEndingLease() const {
     return jobs_.JobsWithEndingLease();
   }
@@ -117,7 +131,7 @@
   std::unique_ptr<Scheduler> scheduler_;
   UpstreamRegistry registry_;
   CrashTable crashes_;
-  ExpiringKeySet cancelled_;
+  CancelledKeys cancelled_;
   // Jobs that were cancelled for any reason, to log submissions after that.
   ExpiringKeySet recently_cancelled_;
   // Keys of jobs whose verdict may have changed.
--- a/include/radishrail/pool_node.h
+++ b/include/radishrail/pool_node.h
@@ -24,6 +24,13 @@
 
 namespace radishrail {
 
+// What is known of a job that a client cancels.
+enum class CancelResult {
+  kCancelled,    // it was in progress and is being stopped
+  kNotFound,     // no daemon has it
+  kUnconfirmed,  // a daemon that may have it has not been reached
+};
+
 // Keys and encodings of the rows in the platform's store.
 struct PoolNodeCodec {
   std::string runner_prefix;  // key prefix of runner rows
@@ -102,10 +109,10 @@
   // Drops the answer to a caller that disconnected. Cancels the job if no other
   // caller waits for it.
   void Abandon(uint64_t submission);
-  // Cancels a job on this daemon and on all owners of pools. `on_result`
-  // receives whether the job was in progress.
+  // Cancels a job on this daemon and on all owners of pools. Owners that are
+  // not reached are told as soon as they are.
   void Cancel(const std::string& key,
-              std::function<void(bool in_progress)> on_result);
+              std::function<void(CancelResult)> on_result);
 
   void OnPeerMessage(const MemberRecord& sender,
                      const PeerMessage& message) override;
--- a/include/radishrail/pool_ownership.h
+++ b/include/radishrail/pool_ownership.h
@@ -55,8 +55,9 @@
   void OnPeerDisconnected(const std::string& address);
   // Gives up an owned pool: one of its runners obeys a higher fencing token.
   void OnFenced(const std::string& pool);
-  // Stops accepting new jobs for an owned pool that is about to be released.
-  void StopAccepting(const std::string& pool);
+  // Whether an owned pool accepts new jobs: not before its owner is prepared,
+  // and not when it is about to be released.
+  void SetAccepting(const std::string& pool, bool accepting);
   // Gives up an owned pool; another daemon may claim it at once. Returns the
   // claim to send to the peers.
   PoolClaim Release(const std::string& pool);
@@ -72,6 +73,9 @@
   // The claim of the newest known owner; nullptr if none is known or the owner
   // is unresponsive.
   const PoolClaim* Owner(const std::string& pool) const;
+  // The vm from which an owned pool was taken over without its release; empty
+  // if there is none.
+  std::string TakenFrom(const std::string& pool) const;
   std::vector<std::string> Pools() const;
 
  private:
@@ -81,6 +85,7 @@
     absl::Time last_contact = absl::InfinitePast();
     absl::Time next_try = absl::InfinitePast();
     absl::Time added_at;
+    std::string taken_from;  // vm of the owner before this daemon's claim
     bool claim_in_progress = false;  // the pool's row is being read or written
   };
 
--- a/src/leased_upstream_client.cc
+++ b/src/leased_upstream_client.cc
@@ -256,6 +256,10 @@
     return runner != nullptr && runner->usable && !runner->ending_lease &&
            !HasRunFromBeforeChange(*runner);
   }
+  bool HasAnswered(const std::string& vm) const {
+    const RunnerPointer runner = Find(vm);
+    return runner != nullptr && runner->list_requested != absl::InfinitePast();
+  }
   bool CanStart(const std::string& vm, const JobLease& lease) const;
   void Start(TaskStart start, Callback callback);
   void StopRun(const std::string& job_key, const std::string& task_id, int run);
@@ -1112,6 +1116,9 @@
 bool LeasedUpstreamClient::Usable(const std::string& vm) const {
   return impl_->Usable(vm);
 }
+bool LeasedUpstreamClient::HasAnswered(const std::string& vm) const {
+  return impl_->HasAnswered(vm);
+}
 bool LeasedUpstreamClient::CanStart(const std::string& vm,
                                     const JobLease& lease) const {
   return impl_->CanStart(vm, lease);
--- a/src/peer_message.cc
+++ b/src/peer_message.cc
@@ -40,7 +40,9 @@
                      "pool_job_reply",
                      "pool_job_cancel",
                      "pool_job_cancel_reply",
-                     "received"};
+                     "received",
+                     "cancelled_keys_request",
+                     "cancelled_keys_reply"};
 
 // The payload of a frame is an array of the message type and its fields.
 template <size_t kIndex = 0>
--- a/src/pool_dispatcher.cc
+++ b/src/pool_dispatcher.cc
@@ -22,9 +22,6 @@
 constexpr int kProbationSlots = 40;
 constexpr int kEjectionFailures = 3;
 constexpr absl::Duration kEjectionTime = absl::Seconds(3);
-// Longer than clients repeat a job and daemons offer it.
-constexpr absl::Duration kCancelledKeyRetention = absl::Seconds(60);
-constexpr size_t kMaxCancelledKeys = 50000;
 // A submission of a cancelled job is logged within this time.
 constexpr absl::Duration kRecentlyCancelled = absl::Seconds(10);
 constexpr size_t kMaxRecentlyCancelledKeys = 10000;
@@ -101,7 +98,7 @@
       scheduler_(std::move(scheduler)),
       registry_(MakeUpstreamSettings(failure_domain), clock),
       crashes_(clock),
-      cancelled_(clock, kCancelledKeyRetention, kMaxCancelledKeys),
+      cancelled_(clock),
       recently_cancelled_(clock, kRecentlyCancelled, kMaxRecentlyCancelledKeys),
       given_up_(metrics.counter(
           "radishrail_pool_jobs_given_up_total",
@@ -204,6 +201,17 @@
   return jobs_.Cancel(key, reason, cause.reason);
 }
 
+void PoolDispatcher::OnPeerCancelledKeys(
+    const std::vector<CancelledKey>& keys) {
+  cancelled_.AddFromPeer(keys);
+  for (const auto& it : keys) {
+    if (jobs_.IsCancellable(it.key)) {
+      Cancel(it.key, ErrorCode::kCancelled,
+             {"a peer knows that a client cancelled the job"});
+    }
+  }
+}
+
 void PoolDispatcher::LogCancel(const std::string& key,
                                const CancelCause& cause) {
   const auto number = [](uint64_t n) {
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -10,8 +10,10 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "cancellations.h"
 #include "forwarded_jobs.h"
 #include "incarnation_history.h"
+#include "key_pull.h"
 #include "owner_choice.h"
 #include "radishrail/decision_log.h"
 #include "radishrail/job_answers.h"
@@ -62,7 +64,6 @@
 // The interval doubles up to this, so that many daemons that start at once
 // while the store is slow do not keep it busy.
 constexpr absl::Duration kMaxMemberRetry = absl::Seconds(4);
-constexpr absl::Duration kCancelWait = absl::Milliseconds(400);
 // Short, since another daemon accepts the request at once.
 constexpr absl::Duration kDrainRetry = absl::Milliseconds(100);
 constexpr absl::Duration kRefusedRetry = absl::Milliseconds(200);
@@ -110,13 +111,7 @@
   uint64_t oldest_request = 0;
   absl::Time status_sent_at = absl::InfinitePast();
   bool status_sent = false;  // a status was sent on the current connection
-};
-
-struct PendingCancel {
-  std::function<void(bool)> on_result;
-  size_t replies = 0;
-  bool known = false;
-  absl::Time deadline;
+  bool keys_asked = false;   // for its cancelled keys
 };
 
 // True if the owner ended the job before its tasks. The caller may submit it
@@ -185,6 +180,14 @@
             env.metrics,
             env.timeline,
             log_),
+        // Starts at the incarnation, so that a reply to a former one matches
+        // none.
+        cancellations_(
+            env.clock,
+            incarnation,
+            env.transport,
+            [this] { return PoolsToTell(); },
+            [this](const std::string& pool) { return HolderOf(pool); }),
         runner_watcher_(codec_.runner_prefix,
                         settings.runner_watch_wait,
                         env.clock,
@@ -237,7 +240,8 @@
     router_.Tick();
     EndJobsWithEndingLease();
     ExpireRunners();
-    ExpireCancels(now);
+    cancellations_.Tick();
+    FinishKeyPull(now);
     SendStatus(now);
     PullDocuments(now);
     ReturnPools(now);
@@ -266,31 +270,27 @@
                             kDrainRetry, TaskErrors::kOmitted));
       return 0;
     }
+    // An owner that was started since may not know it.
+    if (dispatcher_.IsCancelled(job.key)) {
+      callback(NotRunAnswer(job,
+                            {ErrorCode::kCancelled, Step::kQueue, "",
+                             "the caller cancelled the job before"},
+                            absl::ZeroDuration(), TaskErrors::kOmitted));
+      return 0;
+    }
     job.lease = std::make_shared<JobLease>(arrived, client_contact_);
     return router_.Submit(std::move(job), route, std::move(callback));
   }
 
   void Abandon(uint64_t submission) { router_.Abandon(submission); }
 
-  void Cancel(const std::string& key, std::function<void(bool)> on_result) {
-    PendingCancel cancel;
-    cancel.on_result = std::move(on_result);
+  void Cancel(const std::string& key,
+              std::function<void(CancelResult)> on_result) {
     // Withdrawn first: the cancellation of a job in the own pool answers it.
     const bool withdrawn = router_.Withdraw(key);
-    cancel.known = dispatcher_.Cancel(key, ErrorCode::kCancelled,
-                                      {"a client cancelled the job"}) ||
-                   withdrawn;
-    cancel.deadline = env_.clock.Monotonic() + kCancelWait;
-    const uint64_t request = next_cancel_++;
-    for (const auto& it : OwnerAddresses()) {
-      cancel.replies +=
-          env_.transport.Send(it, PoolJobCancel{request, key}) ? 1 : 0;
-    }
-    if (cancel.replies == 0 || cancel.known) {
-      cancel.on_result(cancel.known);
-      return;
-    }
-    cancels_[request] = std::move(cancel);
+    const bool known =
+        CancelForClient(key, {"a client cancelled the job"}) || withdrawn;
+    cancellations_.Cancel(key, known, std::move(on_result));
   }
 
   void OnPeerMessage(const MemberRecord& sender, const PeerMessage& message) {
@@ -312,6 +312,7 @@
     }
     Peer& peer = peers_[sender.peer_address];
     peer.record = sender;
+    PullKeysOnContact(peer);
     peer.first_contact = std::min(peer.first_contact, env_.clock.Monotonic());
     if (const auto* status = std::get_if<PoolStatus>(&message)) {
       OnStatus(peer, *status);
@@ -325,7 +326,14 @@
     } else if (const auto* cancel = std::get_if<PoolJobCancel>(&message)) {
       OnCancel(sender.peer_address, *cancel);
     } else if (const auto* answer = std::get_if<PoolJobCancelReply>(&message)) {
-      OnCancelReply(*answer);
+      cancellations_.OnReply(*answer);
+    } else if (const auto* request =
+                   std::get_if<CancelledKeysRequest>(&message)) {
+      env_.transport.Send(
+          sender.peer_address,
+          CancelledKeysReply{request->request, dispatcher_.KeysForPeer()});
+    } else if (const auto* keys = std::get_if<CancelledKeysReply>(&message)) {
+      OnCancelledKeys(sender.peer_address, *keys);
     } else if (const auto* pull = std::get_if<DocumentPull>(&message)) {
       SendDocuments(sender.peer_address, pull->after_revision);
     } else if (const auto* push = std::get_if<DocumentPush>(&message)) {
@@ -340,6 +348,7 @@
     if (peer != peers_.end()) {
       peer->second.status_sent = false;
     }
+    key_pull_.Remove(address);
     ownership_.OnPeerDisconnected(address);
     router_.OnPeerDisconnected(address);
     CancelJobsOfEntry(address, "the connection to the entry daemon broke");
@@ -482,6 +491,8 @@
               peers_[member->peer_address].record = *member;
             }
           }
+          members_known_ = true;
+          AskForKeys();
           UpdateClaimDelay();
         });
   }
@@ -585,7 +596,8 @@
       claim.fence = fence;
       claim.owner = settings_.vm;
       claim.address = settings_.peer_address;
-      claim.accepting = !handing_over_ && !returning_.contains(it);
+      claim.accepting = !handing_over_ && !returning_.contains(it) &&
+                        !key_pull_.IsPulling(it);
       claim.slots = static_cast<uint32_t>(std::max(load.slots, 0));
       claim.busy_slots = static_cast<uint32_t>(std::max(load.busy_slots, 0));
       claim.backlog_ms =
@@ -671,6 +683,7 @@
       dispatcher_.OnPeerFate({it.job_key, it.task_id, it.vm, it.incarnation,
                               static_cast<UpstreamFate>(it.fate)});
     }
+    ResolveDoubts(peer.record.vm, status);
     for (const auto& it : status.claims) {
       ownership_.SetPools({it.pool});
       ownership_.OnClaim(it, sent);
@@ -701,6 +714,10 @@
       return {ErrorCode::kNoOwner, Step::kOwnership, "",
               "this daemon does not own the pool"};
     }
+    if (key_pull_.IsPulling(request.pool)) {
+      return {ErrorCode::kNotReady, Step::kOwnership, "",
+              "the cancelled keys of the peers are not known yet"};
+    }
     return {};
   }
 
@@ -893,10 +910,10 @@
 
   void OnCancel(const std::string& address, const PoolJobCancel& cancel) {
     if (cancel.request != 0) {
-      const bool known =
-          dispatcher_.Cancel(cancel.key, ErrorCode::kCancelled,
-                             CauseOf("a client cancelled the job", address));
-      env_.transport.Send(address, PoolJobCancelReply{cancel.request, known});
+      const bool known = CancelForClient(
+          cancel.key, CauseOf("a client cancelled the job", address));
+      env_.transport.Send(
+          address, PoolJobCancelReply{cancel.request, known, HasDoubt()});
     } else if (cancel.job_request == 0 ||
                cancel.job_request ==
                    forwarded_.RequestOf(address, cancel.key)) {
@@ -906,24 +923,131 @@
     }
   }
 
-  void OnCancelReply(const PoolJobCancelReply& reply) {
-    const auto it = cancels_.find(reply.request);
-    if (it == cancels_.end()) {
+  // --- Cancelled keys ---
+
+  // True if the job was in progress. It may have been cancelled a moment ago by
+  // a former request of the client.
+  bool CancelForClient(const std::string& key, const CancelCause& cause) {
+    return dispatcher_.Cancel(key, ErrorCode::kCancelled, cause) ||
+           dispatcher_.WasCancelled(key);
+  }
+
+  // Before the rows of runners have been read there may be pools that are not
+  // known yet; an empty name, which has no owner, stands for them.
+  std::vector<std::string> PoolsToTell() const {
+    std::vector<std::string> pools = ownership_.Pools();
+    if (runners_.age() == absl::InfiniteDuration()) {
+      pools.emplace_back();
+    }
+    return pools;
+  }
+
+  // While this daemon has taken a pool over from a daemon that it does not
+  // hear, that daemon may still have jobs at work in the pool.
+  internal::PoolHolder HolderOf(const std::string& pool) {
+    using Kind = internal::PoolHolder::Kind;
+    const PoolClaim* owner = ownership_.Owner(pool);
+    if (owner == nullptr) {
+      return {};
+    }
+    if (owner->owner != settings_.vm) {
+      return {Kind::kPeer, owner->address};
+    }
+    return IsInDoubt(pool) ? internal::PoolHolder()
+                           : internal::PoolHolder{Kind::kSelf, ""};
+  }
+
+  // A runner that has answered under the new fence obeys the former owner no
+  // longer.
+  bool IsInDoubt(const std::string& pool) {
+    if (!in_doubt_.contains(pool)) {
+      return false;
+    }
+    if (runners_.is_awaiting_rows()) {
+      return true;
+    }
+    for (const auto& [key, runner] : runners_.runners()) {
+      if (runner.info.failure_domain == pool &&
+          !dispatcher_.HasAnswered(runner.info.vm)) {
+        return true;
+      }
+    }
+    in_doubt_.erase(pool);
+    return false;
+  }
+
+  bool HasDoubt() {
+    const auto pools = ownership_.Pools();
+    return std::any_of(pools.begin(), pools.end(),
+                       [this](const auto& it) { return IsInDoubt(it); });
+  }
+
+  // A former owner that is heard and does not claim the pool has given it up.
+  void ResolveDoubts(const std::string& vm, const PoolStatus& status) {
+    std::erase_if(in_doubt_, [&](const auto& it) {
+      return it.second == vm &&
+             std::none_of(status.claims.begin(), status.claims.end(),
+                          [&](const PoolClaim& claim) {
+                            return claim.pool == it.first;
+                          });
+    });
+  }
+
+  void OnPoolAcquired(const std::string& pool) {
+    const std::string former = ownership_.TakenFrom(pool);
+    if (!former.empty()) {
+      in_doubt_[pool] = former;
+    }
+    key_pull_.Begin(pool, env_.clock.Monotonic());
+    ownership_.SetAccepting(pool, false);
+    for (auto& [address, peer] : peers_) {
+      peer.keys_asked = false;
+    }
+    AskForKeys();
+    FinishKeyPull(env_.clock.Monotonic());
+  }
+
+  // Peers that have fallen silent are not waited for, but asked when they are
+  // heard again.
+  void AskForKeys() {
+    if (!key_pull_.active()) {
       return;
     }
-    it->second.known = it->second.known || reply.known;
-    if (it->second.known || --it->second.replies == 0) {
-      const PendingCancel cancel = std::move(it->second);
-      cancels_.erase(it);
-      cancel.on_result(cancel.known);
+    const absl::Time now = env_.clock.Monotonic();
+    for (auto& [address, peer] : peers_) {
+      const bool silent = peer.last_contact != absl::InfinitePast() &&
+                          now - peer.last_contact > kReturnDelay;
+      if (silent || peer.keys_asked) {
+        continue;
+      }
+      peer.keys_asked = env_.transport.Send(address, CancelledKeysRequest{0});
+      if (peer.keys_asked) {
+        key_pull_.Await(address);
+      }
     }
   }
 
-  void ExpireCancels(absl::Time now) {
-    while (!cancels_.empty() && cancels_.begin()->second.deadline <= now) {
-      const PendingCancel cancel = std::move(cancels_.begin()->second);
-      cancels_.erase(cancels_.begin());
-      cancel.on_result(cancel.known);
+  void PullKeysOnContact(Peer& peer) {
+    if (!peer.keys_asked && OwnsAnyPool()) {
+      peer.keys_asked = env_.transport.Send(peer.record.peer_address,
+                                            CancelledKeysRequest{0});
+    }
+  }
+
+  void OnCancelledKeys(const std::string& address,
+                       const CancelledKeysReply& reply) {
+    dispatcher_.OnPeerCancelledKeys(reply.keys);
+    key_pull_.Remove(address);
+    FinishKeyPull(env_.clock.Monotonic());
+  }
+
+  void FinishKeyPull(absl::Time now) {
+    const auto pools = key_pull_.TakeFinished(members_known_, now);
+    for (const auto& it : pools) {
+      ownership_.SetAccepting(it, !returning_.contains(it));
+    }
+    if (!pools.empty()) {
+      OnOwnershipChanged();
     }
   }
 
@@ -978,6 +1102,9 @@
           {{"pool", pool},
            {"runner_rows_age_ms",
             absl::StrCat(absl::ToInt64Milliseconds(runners_.age()))}});
+      OnPoolAcquired(pool);
+    } else {
+      in_doubt_.erase(pool);
     }
     OnOwnershipChanged();
   }
@@ -1110,7 +1237,7 @@
       const auto [entry, begun] =
           returning_.try_emplace(it, now + kReturnDelay);
       if (begun) {
-        ownership_.StopAccepting(it);
+        ownership_.SetAccepting(it, false);
         OnOwnershipChanged();
       } else if (entry->second <= now) {
         returning_.erase(entry);
@@ -1144,6 +1271,12 @@
   PoolOwnership ownership_;
   PoolDispatcher dispatcher_;
   PoolRouter router_;
+  internal::Cancellations cancellations_;
+  internal::KeyPull key_pull_;
+  bool members_known_ = false;  // the rows of the members have been read
+  // Vms from which owned pools were taken over and that may still act as their
+  // owners, by pool.
+  std::map<std::string, std::string> in_doubt_;
   StoreWatcher runner_watcher_;
   StoreWatcher document_watcher_;
   internal::RunnerTable runners_;
@@ -1169,9 +1302,6 @@
   bool following_rows_ = false;  // this daemon owns a pool
   std::optional<RoutedDocuments> documents_;
   internal::ForwardedJobs forwarded_;
-  std::map<uint64_t, PendingCancel> cancels_;
-  // Starts at the incarnation, so that a reply to a former one matches none.
-  uint64_t next_cancel_ = incarnation_;
   absl::Time next_pull_ = absl::InfinitePast();
   absl::Time gossip_due_ = absl::InfinitePast();
   std::optional<absl::Time> drain_started_;
@@ -1222,7 +1352,7 @@
   impl_->Abandon(submission);
 }
 void PoolNode::Cancel(const std::string& key,
-                      std::function<void(bool in_progress)> on_result) {
+                      std::function<void(CancelResult)> on_result) {
   impl_->Cancel(key, std::move(on_result));
 }
 void PoolNode::OnPeerMessage(const MemberRecord& sender,
--- a/src/pool_ownership.cc
+++ b/src/pool_ownership.cc
@@ -111,12 +111,18 @@
   on_change_(name);
 }
 
-void PoolOwnership::StopAccepting(const std::string& pool) {
+void PoolOwnership::SetAccepting(const std::string& pool, bool accepting) {
   if (OwnedFence(pool) != 0) {
-    pools_[pool].claim.accepting = false;
+    pools_[pool].claim.accepting = accepting;
   }
 }
 
+std::string PoolOwnership::TakenFrom(const std::string& pool) const {
+  const auto it = pools_.find(pool);
+  return it != pools_.end() && OwnedFence(pool) != 0 ? it->second.taken_from
+                                                     : "";
+}
+
 PoolClaim PoolOwnership::Release(const std::string& name) {
   Pool& pool = pools_[name];
   Log(LogLevel::kInfo, "pool released",
@@ -293,6 +299,9 @@
   Pool& pool = pools_[name];
   const bool changed =
       claim.fence != pool.claim.fence || claim.owner != pool.claim.owner;
+  if (changed) {
+    pool.taken_from = pool.claim.owner;
+  }
   pool.claim = claim;
   // A released pool may be claimed at once.
   pool.last_contact = claim.owner.empty()
--- a/tests/pool_fleet.h
+++ b/tests/pool_fleet.h
@@ -130,8 +130,8 @@
     uint64_t submission = 0;  // number of the last one at its entry daemon
     bool refused_only = true;
     std::optional<JobStatus> status;
-    Error error;                       // of the last answer
-    std::optional<bool> cancel_found;  // whether a cancellation found the job
+    Error error;                                // of the last answer
+    std::optional<CancelResult> cancel_result;  // of the last cancellation
     std::string entry;
     absl::Time submitted;  // first submission
     absl::Time answered;
@@ -296,6 +296,7 @@
 
   // Daemons and runners of this domain are partitioned from all others.
   std::set<std::string> isolated_domain;
+  bool isolated_reach_store = false;
   bool IsPartitioned(const std::string& a, const std::string& b) const {
     return isolated_domain.contains(a.substr(0, 2)) !=
            isolated_domain.contains(b.substr(0, 2));
@@ -371,8 +372,8 @@
     Daemon& daemon = daemons_[name];
     log.Note(clock, absl::StrCat(key, " cancelled at ", name));
     daemon.pumped->Post([this, &daemon, key] {
-      daemon.node->Cancel(key, [this, key](bool in_progress) {
-        jobs[key].cancel_found = in_progress;
+      daemon.node->Cancel(key, [this, key](CancelResult result) {
+        jobs[key].cancel_result = result;
       });
     });
   }
@@ -501,7 +502,8 @@
         continue;
       }
       daemon.store->reachable =
-          !isolated_domain.contains(daemon.domain) && !store_down;
+          (isolated_reach_store || !isolated_domain.contains(daemon.domain)) &&
+          !store_down;
       daemon.runners->cut.clear();
       for (const auto& [runner, fake] : runners) {
         if (IsPartitioned(name, runner)) {
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -84,7 +84,7 @@
   const std::string key = SubmitToFullPool("d1", absl::Seconds(1));
   fleet_.Cancel(fleet_.OwnerOf("d1"), key);
   fleet_.loop.RunFor(absl::Seconds(4));
-  EXPECT_EQ(fleet_.jobs[key].cancel_found, true);
+  EXPECT_EQ(fleet_.jobs[key].cancel_result, CancelResult::kCancelled);
   EXPECT_EQ(fleet_.log.starts[key], 0) << fleet_.log.TraceOf(key);
   EXPECT_EQ(fleet_.jobs[key].error.code, ErrorCode::kCancelled);
 }
@@ -99,7 +99,7 @@
   ASSERT_EQ(fleet_.log.starts[key], 0) << "the job is not queued";
   fleet_.Cancel("d2n1", key);
   fleet_.loop.RunFor(absl::Seconds(4));
-  EXPECT_EQ(fleet_.jobs[key].cancel_found, true);
+  EXPECT_EQ(fleet_.jobs[key].cancel_result, CancelResult::kCancelled);
   EXPECT_EQ(fleet_.log.starts[key], 0) << fleet_.log.TraceOf(key);
   EXPECT_EQ(fleet_.jobs[key].error.code, ErrorCode::kCancelled);
 }
@@ -146,6 +146,151 @@
   EXPECT_EQ(fleet_.jobs[key].error.code, ErrorCode::kCancelled);
 }
 
+// A job is at work in d1 when its client cancels it.
+class PoolFleetCancelTest : public PoolFleetTest {
+ protected:
+  PoolFleetCancelTest() {
+    for (const auto& it : fleet_.RunnerNames()) {
+      fleet_.runners[it]->run_time = absl::Seconds(20);
+    }
+    fleet_.job_deadline = absl::Seconds(20);
+    owner_ = fleet_.OwnerOf("d1");
+    key_ = fleet_.Submit(owner_, 2);
+    fleet_.loop.RunFor(absl::Milliseconds(100));
+    EXPECT_EQ(fleet_.log.starts[key_], 2);
+  }
+
+  std::optional<CancelResult> Cancel(const std::string& daemon) {
+    fleet_.jobs[key_].cancel_result.reset();
+    fleet_.Cancel(daemon, key_);
+    fleet_.loop.RunFor(absl::Milliseconds(500));
+    return fleet_.jobs[key_].cancel_result;
+  }
+  int RunsAtWork() { return fleet_.log.active[key_ + "/0.0.0"]; }
+  // The request of the job arrives once more at each of the daemons.
+  void ExpectNoStartAgain(const std::vector<std::string>& daemons) {
+    for (const auto& it : daemons) {
+      fleet_.Repeat(it, key_);
+      fleet_.loop.RunFor(absl::Seconds(1));
+    }
+    EXPECT_EQ(fleet_.log.starts[key_], starts_) << fleet_.log.TraceOf(key_);
+  }
+
+  int starts_ = 2;  // of its tasks, before the cancellation
+  std::string owner_;
+  std::string key_;
+};
+
+// Guards against a cancelled job that is run when its request arrives again
+// after its owner was killed: the daemon that takes the pool over, or the new
+// process, did not know the cancelled key.
+TEST_F(PoolFleetCancelTest, CancelledJob_OwnerIsKilled_StartsNowhere) {
+  EXPECT_EQ(Cancel(owner_), CancelResult::kCancelled);
+  fleet_.Kill(owner_);
+  fleet_.loop.RunFor(absl::Milliseconds(500));
+  fleet_.StartDaemon(owner_);
+  fleet_.loop.RunFor(absl::Seconds(4));
+  ExpectNoStartAgain({"d1n0", "d1n1"});
+}
+
+// Guards against the same where the daemon of the domain is the only one, so
+// that its new process takes the pool at once.
+TEST(PoolFleetCancelledKeysTest,
+     CancelledJob_OnlyDaemonRestarts_StartsNowhere) {
+  PoolFleet fleet(1, 1, 4);
+  fleet.loop.RunFor(absl::Seconds(2));
+  const std::string key = fleet.Submit("d1n0", 1);
+  fleet.Cancel("d1n0", key);
+  fleet.loop.RunFor(absl::Seconds(1));
+  const int starts = fleet.log.starts[key];
+  fleet.Kill("d1n0");
+  fleet.loop.RunFor(absl::Milliseconds(500));
+  fleet.StartDaemon("d1n0");
+  for (int i = 0; i < 50; ++i) {
+    fleet.Repeat("d1n0", key);
+    fleet.loop.RunFor(absl::Milliseconds(100));
+  }
+  EXPECT_EQ(fleet.OwnerOf("d1"), "d1n0");
+  EXPECT_EQ(fleet.log.starts[key], starts) << fleet.log.TraceOf(key);
+}
+
+// Guards against the same after a graceful shutdown, which hands the pool over.
+TEST_F(PoolFleetCancelTest, CancelledJob_OwnerDrains_StartsNowhere) {
+  EXPECT_EQ(Cancel(owner_), CancelResult::kCancelled);
+  fleet_.daemon(owner_).node->BeginDrain();
+  fleet_.loop.RunFor(absl::Seconds(3));
+  fleet_.Kill(owner_);
+  fleet_.loop.RunFor(absl::Seconds(2));
+  ExpectNoStartAgain({owner_ == "d1n0" ? "d1n1" : "d1n0", "d2n0"});
+}
+
+// Guards against the same on a VM that replaces all those of the domain and
+// has another name and address.
+TEST_F(PoolFleetCancelTest, CancelledJob_VmsAreReplaced_StartsNowhere) {
+  EXPECT_EQ(Cancel(owner_), CancelResult::kCancelled);
+  fleet_.Kill("d1n0");
+  fleet_.Kill("d1n1");
+  fleet_.daemon("d1n2").name = "d1n2";
+  fleet_.daemon("d1n2").domain = "d1";
+  fleet_.StartDaemon("d1n2");
+  fleet_.loop.RunFor(absl::Seconds(8));
+  EXPECT_EQ(fleet_.OwnerOf("d1"), "d1n2");
+  ExpectNoStartAgain({"d1n2"});
+}
+
+// Guards against a daemon that is cut off and says that a job does not exist
+// which is at work behind the cut, also after it has taken over the pool there,
+// and against a job that continues after the cut.
+TEST_F(PoolFleetCancelTest,
+       Job_CancelledBehindCut_IsUnconfirmedAndStopsAfterIt) {
+  fleet_.isolated_reach_store = true;
+  fleet_.Isolate("d2");
+  for (int i = 0; i < 12; ++i) {
+    EXPECT_EQ(Cancel("d2n0"), CancelResult::kUnconfirmed);
+  }
+  EXPECT_TRUE(fleet_.OwnerOf("d1").starts_with("d2"));
+  EXPECT_EQ(RunsAtWork(), 1);
+  // Its client has submitted it again, since the owner misses a client contact.
+  starts_ = fleet_.log.starts[key_];
+  fleet_.Heal();
+  fleet_.loop.RunFor(absl::Seconds(1));
+  EXPECT_EQ(RunsAtWork(), 0) << fleet_.log.TraceOf(key_);
+  ExpectNoStartAgain({"d1n0", "d2n1"});
+}
+
+// Guards against a job that starts behind a cut that was there when it was
+// cancelled, and against a cancellation that is never answered with success.
+TEST_F(PoolFleetCancelTest, Job_CancelledDuringCut_StartsNowhereAfterIt) {
+  fleet_.Isolate("d2");
+  EXPECT_EQ(Cancel(owner_), CancelResult::kUnconfirmed);
+  EXPECT_EQ(RunsAtWork(), 0);
+  fleet_.loop.RunFor(absl::Milliseconds(2200));
+  EXPECT_EQ(Cancel(owner_), CancelResult::kCancelled);
+  fleet_.Heal();
+  fleet_.loop.RunFor(absl::Milliseconds(500));
+  ExpectNoStartAgain({"d2n0", "d2n1"});
+}
+
+// Guards against a daemon that has just started and says that a job does not
+// exist, before it has heard any owner.
+TEST_F(PoolFleetCancelTest, Job_CancelledAtNewProcess_IsNotUnknown) {
+  fleet_.Kill("d2n0");
+  fleet_.StartDaemon("d2n0");
+  fleet_.Cancel("d2n0", key_);
+  fleet_.loop.RunFor(absl::Seconds(1));
+  EXPECT_NE(fleet_.jobs[key_].cancel_result, CancelResult::kNotFound);
+  EXPECT_EQ(RunsAtWork(), 0);
+}
+
+// Guards against cancellations of jobs that do not exist which are never
+// answered with success after the owner of a pool is lost.
+TEST_F(PoolFleetCancelTest, Cancellation_OwnerWasKilled_IsAnswered) {
+  fleet_.Kill(owner_);
+  fleet_.loop.RunFor(absl::Milliseconds(1500));
+  key_ = "unknown";
+  EXPECT_EQ(Cancel("d2n0"), CancelResult::kNotFound);
+}
+
 // Rows that another writer has left in the tables of members and pools.
 class PoolFleetMalformedRowsTest : public PoolFleetTest {
  protected:
