Keep jobs and runs beyond the ledger's horizon apart

The buckets reach 2.56 s ahead. A job due later, or a run that lasts longer, was put into the last bucket and became overdue when that had passed.

--- a/benchmark/scheduler_benchmark.cc
+++ b/benchmark/scheduler_benchmark.cc
@@ -37,8 +37,12 @@
   return demand;
 }
 
-std::unique_ptr<PolicyScheduler> MakeScheduler(int runners) {
-  auto scheduler = std::make_unique<PolicyScheduler>(kClock);
+std::unique_ptr<PolicyScheduler> MakeScheduler(
+    int runners,
+    AdmissionPolicy admission = AdmissionPolicy::kQueuedWork) {
+  PolicySchedulerSettings settings;
+  settings.admission = admission;
+  auto scheduler = std::make_unique<PolicyScheduler>(kClock, settings);
   SeededRandom random(2);
   for (int i = 0; i < runners; ++i) {
     UpstreamCapacity capacity;
@@ -108,6 +112,35 @@
 }
 BENCHMARK(BM_AdmitJob);
 
+// Admits, places and finishes a job of 8 tasks while others occupy half of the
+// slots. Argument: `AdmissionPolicy`.
+void BM_AdmitPlaceFinish(benchmark::State& state) {
+  constexpr int kTasks = 8;
+  SeededRandom random(1);
+  auto scheduler =
+      MakeScheduler(100, static_cast<AdmissionPolicy>(state.range(0)));
+  scheduler->Admit(MakeJob(1, 400, &random));
+  while (scheduler->Next()) {
+  }
+  JobDemand demand = MakeJob(0, kTasks, &random);
+  uint64_t id = 1;
+  for (auto _ : state) {
+    demand.job = ++id;
+    demand.promise_by = kClock.Monotonic() + absl::Seconds(1);
+    demand.start_by = demand.promise_by + absl::Seconds(1);
+    scheduler->Admit(demand);
+    TaskRef placed[kTasks];
+    for (auto& it : placed) {
+      it = scheduler->Next()->task;
+    }
+    for (const auto& it : placed) {
+      scheduler->Finish(it, absl::Milliseconds(300));
+    }
+  }
+  state.SetItemsProcessed(state.iterations() * kTasks);
+}
+BENCHMARK(BM_AdmitPlaceFinish)->ArgName("admission")->Arg(0)->Arg(1);
+
 // Removes jobs with a total of 100,000 tasks from a queue of a million.
 // Argument: tasks per job.
 void BM_Remove100000Tasks(benchmark::State& state) {
--- a/src/admission_ledger.cc
+++ b/src/admission_ledger.cc
@@ -18,38 +18,51 @@
 
 }  // namespace
 
-AdmissionLedger::Bucket AdmissionLedger::Clamp(double at_s) const {
-  return std::clamp(static_cast<Bucket>(std::floor(at_s / kBucketSeconds)),
-                    first_, first_ + static_cast<Bucket>(kBuckets) - 1);
+AdmissionLedger::Bucket AdmissionLedger::Find(double at_s) const {
+  const auto bucket = static_cast<Bucket>(std::floor(at_s / kBucketSeconds));
+  return bucket < first_ + static_cast<Bucket>(kBuckets)
+             ? std::max(bucket, first_)
+             : kFar;
+}
+
+double* AdmissionLedger::Total(std::array<double, kBuckets>* totals,
+                               Bucket bucket,
+                               Bucket first,
+                               double* far,
+                               double* overdue) {
+  if (bucket == kFar) {
+    return far;
+  }
+  return bucket < first ? overdue : &(*totals)[bucket % kBuckets];
 }
 
 AdmissionLedger::Bucket AdmissionLedger::AddQueued(double latest_start_s,
                                                    double slots,
                                                    double work) {
-  const Bucket bucket = Clamp(latest_start_s);
-  queued_[bucket % kBuckets] += slots;
+  const Bucket bucket = Find(latest_start_s);
+  *Total(&queued_, bucket, first_, &far_queued_, &overdue_queued_) += slots;
   queued_slots_ += slots;
   queued_work_ += work;
   return bucket;
 }
 
 void AdmissionLedger::RemoveQueued(Bucket bucket, double slots, double work) {
-  (bucket < first_ ? overdue_queued_ : queued_[bucket % kBuckets]) -= slots;
+  *Total(&queued_, bucket, first_, &far_queued_, &overdue_queued_) -= slots;
   queued_slots_ -= slots;
   queued_work_ -= work;
 }
 
 AdmissionLedger::Bucket AdmissionLedger::AddRunning(double end_s, int slots) {
-  const Bucket bucket = Clamp(end_s);
-  ending_[bucket % kBuckets] += slots;
+  const Bucket bucket = Find(end_s);
+  *Total(&ending_, bucket, first_, &far_running_, &overdue_running_) += slots;
   running_slots_ += slots;
   return bucket;
 }
 
 void AdmissionLedger::RemoveRunning(Bucket bucket, int slots, double now_s) {
-  (bucket < first_ ? overdue_running_ : ending_[bucket % kBuckets]) -= slots;
+  *Total(&ending_, bucket, first_, &far_running_, &overdue_running_) -= slots;
   running_slots_ -= slots;
-  if (bucket < first_) {
+  if (bucket != kFar && bucket < first_) {
     const double excess =
         now_s - static_cast<double>(bucket + 1) * kBucketSeconds;
     excess_ = excess_ * kExcessDecay + excess;
@@ -69,11 +82,27 @@
   first_ = std::max(first_, now);
 }
 
+// So far ahead, single tasks do not matter: all waiting work has to be done by
+// then.
+AdmissionLedger::Shortage AdmissionLedger::CheckFar(
+    double now_s,
+    const Demand& demand,
+    const Supply& supply) const {
+  const double slots = efficiency_ * supply.slots;
+  const double time_s = demand.latest_start_s - now_s;
+  const double needed =
+      (queued_work_ + demand.work) / (supply.mean_speed * time_s);
+  return {demand.latest_start_s, needed - slots};
+}
+
 // Plays the coming starts and ends bucket by bucket: queued tasks start as soon
 // as slots are given back, and give theirs back after their mean run time.
 AdmissionLedger::Shortage AdmissionLedger::Check(double now_s,
                                                  const Demand& demand,
                                                  const Supply& supply) const {
+  if (Find(demand.latest_start_s) == kFar) {
+    return CheckFar(now_s, demand, supply);
+  }
   const double waiting = queued_slots_ + demand.slots;
   const double mean_run_s =
       waiting > 0 ? (queued_work_ + demand.work) / (waiting * supply.mean_speed)
@@ -83,8 +112,8 @@
   // Expected rest of a task that is past its expected end: the mean residual
   // life seen at a random moment.
   const double rest_s = excess_ > 0 ? excess_squares_ / (2 * excess_) : 0;
-  const Bucket rest = Clamp(now_s + rest_s);
-  const Bucket due = Clamp(demand.latest_start_s);
+  const Bucket rest = Find(now_s + rest_s);
+  const Bucket due = Find(demand.latest_start_s);
   std::array<double, kBuckets> started{};
   double given_back = efficiency_ * supply.slots - running_slots_;
   double due_slots = overdue_queued_;
--- a/src/admission_ledger.h
+++ b/src/admission_ledger.h
@@ -15,6 +15,9 @@
  public:
   // Number of a bucket since the epoch of the caller's time.
   using Bucket = int64_t;
+  // What is later than this counts as not within the time that is examined,
+  // until it is removed and added again.
+  static constexpr double kHorizonSeconds = 2.5;
 
   // Adds a queued job's slots and work, in slot-seconds at speed 1. The bucket
   // returned identifies them.
@@ -53,15 +56,30 @@
   double efficiency() const { return efficiency_; }
 
  private:
-  static constexpr size_t kBuckets = 128;
+  static constexpr size_t kBuckets = 128;  // 2.56 s
 
-  Bucket Clamp(double at_s) const;
+  // Of a time beyond the horizon.
+  static constexpr Bucket kFar = -1;
+
+  Bucket Find(double at_s) const;
+  Shortage CheckFar(double now_s,
+                    const Demand& demand,
+                    const Supply& supply) const;
+  // The total to which a bucket counts now; `far` and `overdue` are those of
+  // the times outside of the horizon.
+  static double* Total(std::array<double, kBuckets>* totals,
+                       Bucket bucket,
+                       Bucket first,
+                       double* far,
+                       double* overdue);
 
   std::array<double, kBuckets> queued_{};
   std::array<double, kBuckets> ending_{};
   Bucket first_ = 0;
   double overdue_queued_ = 0;
   double overdue_running_ = 0;
+  double far_queued_ = 0;
+  double far_running_ = 0;
   double queued_slots_ = 0;
   double queued_work_ = 0;
   double running_slots_ = 0;
--- a/src/policy_admission.cc
+++ b/src/policy_admission.cc
@@ -85,8 +85,7 @@
     Push(index, &it);
   }
   if (reserves() && job.promise_was_achievable) {
-    PushHeap(&urgent_starts_,
-             {job.promise_by_s - shortest, index, job.generation});
+    PushUrgent(index, now);
   }
   ++unstarted_;
   PushHeap(&latest_starts_,
--- a/src/policy_order.cc
+++ b/src/policy_order.cc
@@ -120,17 +120,36 @@
   }
 }
 
+// Enters the time at which the slack of a job is used up on the fastest
+// upstream, or at which its latest start comes within the ledger's horizon.
+void PolicyScheduler::Impl::PushUrgent(JobIndex index, double now) {
+  const Job& job = jobs_[index];
+  const double urgent_s = job.promise_by_s - job.longest_s / pools_.top_speed();
+  const double near_s =
+      job.latest_start_s - internal::AdmissionLedger::kHorizonSeconds;
+  PushHeap(&urgent_starts_,
+           {now < near_s ? std::min(near_s, urgent_s) : urgent_s, index,
+            job.generation});
+}
+
 // An admitted job whose slack is used up goes before all that have slack.
 void PolicyScheduler::Impl::PromoteUrgent(double now) {
   while (!urgent_starts_.empty() && urgent_starts_.front().key <= now) {
     const HeapEntry entry = urgent_starts_.front();
     PopHeap(&urgent_starts_);
     Job& job = jobs_[entry.job];
-    if (job.generation == entry.ticket && !job.removed && !job.hopeless &&
-        !job.late) {
-      job.urgent = true;
-      PushAll(entry.job);
+    if (job.generation != entry.ticket || job.removed || job.hopeless ||
+        job.late) {
+      continue;
+    }
+    AdjustWorkTotals(&job, -1);
+    AdjustWorkTotals(&job, 1);
+    if (now < job.promise_by_s - job.longest_s / pools_.top_speed()) {
+      PushUrgent(entry.job, now);
+      continue;
     }
+    job.urgent = true;
+    PushAll(entry.job);
   }
 }
 
--- a/src/policy_placement.cc
+++ b/src/policy_placement.cc
@@ -281,6 +281,13 @@
   job_ids_.erase(job.id);
   job = Job();
   free_jobs_.push_back(index);
+  if (urgent_starts_.size() > 2 * job_ids_.size() + kMaxExcessStaleEntries) {
+    std::erase_if(urgent_starts_, [this](const HeapEntry& it) {
+      return jobs_[it.job].generation != it.ticket;
+    });
+    std::make_heap(urgent_starts_.begin(), urgent_starts_.end(),
+                   std::greater<>());
+  }
   if (latest_starts_.size() > 2 * unstarted_ + kMaxExcessStaleEntries) {
     std::erase_if(latest_starts_, [this](const HeapEntry& it) {
       const Job& other = jobs_[it.job];
--- a/src/policy_scheduler_impl.h
+++ b/src/policy_scheduler_impl.h
@@ -293,6 +293,7 @@
   double ReservedKey(const Job& job) const;
   void Push(JobIndex index, JobLane* job_lane);
   void PushAll(JobIndex index);
+  void PushUrgent(JobIndex index, double now);
   void PromoteUrgent(double now);
   void Compact(LaneId lane, TeamLane* team_lane);
   bool IsValid(const HeapEntry& entry, LaneId lane) const;
--- a/tests/admission_ledger_test.cc
+++ b/tests/admission_ledger_test.cc
@@ -70,6 +70,19 @@
   EXPECT_LE(Missing(100.2, 100.9, 50), 0);
 }
 
+// Guards against counting a job of a long promise as due when the horizon of
+// the buckets has passed.
+TEST_F(AdmissionLedgerTest, Check_DueFarAhead_CountsByWorkOnly) {
+  ledger_.AddQueued(3600, 1000, 1000.0 * 60);
+  ledger_.AddRunning(600, 50);
+  EXPECT_LE(Missing(0, 0, 49), 0);
+  EXPECT_LE(Missing(0, 3600, 1000), 0);
+  EXPECT_GT(ledger_.Check(0, {3600, 1000, 1000.0 * 400}, kSupply).slots, 0);
+  ledger_.Advance(10);
+  EXPECT_LE(Missing(10, 10, 49), 0);
+  EXPECT_GT(Missing(10, 10, 52), 0);
+}
+
 // Guards against promising slots that tasks of this size cannot use.
 TEST_F(AdmissionLedgerTest, LearnEfficiency_SlotsUnused_PromisesFewer) {
   for (int i = 0; i < 1000; ++i) {
