Put shares at admission behind a setting of their own

`[scheduling] shares` is backlog by default, and deploy/daemon.ini does not turn them on.

The efficiency is learned only when a task found no room: tasks held back by the limit of long tasks lowered it.

--- a/include/radishrail/admission_policy.h
+++ b/include/radishrail/admission_policy.h
@@ -18,8 +18,19 @@
   kMaxValue = kReserved,
 };
 
+// Where shares of scarce capacity act.
+enum class SharePolicy {
+  // On the order of tasks, while much work is queued.
+  kBacklog,
+  // At admission as well, with `AdmissionPolicy::kReserved`.
+  kAdmission,
+  kMaxValue = kAdmission,
+};
+
 std::string_view AdmissionPolicyName(AdmissionPolicy policy);
 std::optional<AdmissionPolicy> AdmissionPolicyFromName(std::string_view name);
+std::string_view SharePolicyName(SharePolicy policy);
+std::optional<SharePolicy> SharePolicyFromName(std::string_view name);
 
 }  // namespace radishrail
 
--- a/include/radishrail/policy_scheduler.h
+++ b/include/radishrail/policy_scheduler.h
@@ -26,6 +26,7 @@
 struct PolicySchedulerSettings {
   SpillPolicy spill = SpillPolicy::kFastest;
   AdmissionPolicy admission = AdmissionPolicy::kQueuedWork;
+  SharePolicy shares = SharePolicy::kBacklog;
   // Factor applied to the speed of upstreams in the home failure domain when
   // upstreams are compared.
   double home_preference = 1.02;
--- a/include/radishrail/settings.h
+++ b/include/radishrail/settings.h
@@ -60,6 +60,7 @@
 
   // [scheduling]
   AdmissionPolicy admission = AdmissionPolicy::kQueuedWork;
+  SharePolicy shares = SharePolicy::kBacklog;
 };
 
 // The address at which peers connect to the daemon.
--- a/src/admission_policy.cc
+++ b/src/admission_policy.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 2> kNames = {"queued_work", "reserved"};
+constexpr std::array<std::string_view, 2> kShareNames = {"backlog",
+                                                         "admission"};
 
 }  // namespace
 
@@ -20,4 +22,12 @@
   return internal::FromName<AdmissionPolicy>(kNames, name);
 }
 
+std::string_view SharePolicyName(SharePolicy policy) {
+  return internal::NameOf(kShareNames, policy);
+}
+
+std::optional<SharePolicy> SharePolicyFromName(std::string_view name) {
+  return internal::FromName<SharePolicy>(kShareNames, name);
+}
+
 }  // namespace radishrail
--- a/src/policy_admission.cc
+++ b/src/policy_admission.cc
@@ -147,8 +147,12 @@
   ClassLedger& it = ledgers_[job.ledger];
   it.ledger.Advance(now);
   const auto group = ShareGroup(job);
-  const double headroom = admission_shares_.Headroom(
-      group, job.wide, pools_.capacity(it.pool) * it.ledger.efficiency(), now);
+  const double headroom =
+      shares_admission()
+          ? admission_shares_.Headroom(
+                group, job.wide,
+                pools_.capacity(it.pool) * it.ledger.efficiency(), now)
+          : 0;
   const auto shortage = it.ledger.Check(
       now,
       {job.latest_start_s, static_cast<double>(job.queued_slots),
--- a/src/policy_order.cc
+++ b/src/policy_order.cc
@@ -206,6 +206,7 @@
         reserved_lane_.reset();
       }
     } else if (!pools_.HasFree(lane.pool)) {
+      lacks_room_ = true;
       ReserveIfBlocked(&lane, now);
     } else if ((!lane.is_long || candidate->key < -kUrgentKeyOffset / 2 ||
                 !LongTaskLimitReached(lane.slots, now)) &&
--- a/src/policy_placement.cc
+++ b/src/policy_placement.cc
@@ -24,12 +24,13 @@
   UpdatePeakCapacity(now);
   ReleaseDelayed(now);
   PromoteUrgent(now);
+  lacks_room_ = false;
   while (const auto candidate = Select(now)) {
     if (auto placement = TryPlace(*candidate, now)) {
       return placement;
     }
   }
-  if (reserves() && queued_ > delayed_.size()) {
+  if (reserves() && lacks_room_) {
     LearnEfficiency();
   }
   return std::nullopt;
--- a/src/policy_scheduler_impl.h
+++ b/src/policy_scheduler_impl.h
@@ -276,6 +276,9 @@
     const int slots = pools_.capable_slots(ledger.pool);
     return slots > 0 ? pools_.capacity(ledger.pool) / slots : 1;
   }
+  bool shares_admission() const {
+    return settings_.shares == SharePolicy::kAdmission;
+  }
   double WorkAhead(double work_s) const;
   double Capacity() const;
   void UpdatePeakCapacity(double now);
@@ -370,6 +373,8 @@
   // With `AdmissionPolicy::kReserved`:
   std::vector<HeapEntry> urgent_starts_;  // heap by the time of urgency
   std::vector<ClassLedger> ledgers_;
+  bool lacks_room_ =
+      false;  // a queued task found no upstream with enough slots
   internal::AdmissionShares admission_shares_;
   std::vector<std::pair<JobIndex, uint32_t>> hopeless_;
   uint32_t next_ticket_ = scheduling::kNoTicket;
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -34,6 +34,7 @@
   kDuration,
   kLogLevel,
   kAdmissionPolicy,
+  kSharePolicy,
 };
 
 using Field = std::variant<std::string Settings::*,
@@ -43,7 +44,8 @@
                            size_t Settings::*,
                            absl::Duration Settings::*,
                            LogLevel Settings::*,
-                           AdmissionPolicy Settings::*>;
+                           AdmissionPolicy Settings::*,
+                           SharePolicy Settings::*>;
 
 struct Key {
   std::string_view section;
@@ -137,6 +139,11 @@
         "with `--platform`, what admits a job: the queued work of smaller "
         "jobs, "
         "or room beside all admitted jobs"},
+    Key{"scheduling", "shares", Type::kSharePolicy, &Settings::shares, 0, 0,
+        false,
+        "with `--platform`, where shares act: on the order of tasks while much "
+        "work is queued, or at admission as well, if `admission` is "
+        "`reserved`"},
 };
 
 bool IsName(std::string_view text) {
@@ -266,6 +273,8 @@
       return "debug, info, warning, error";
     case Type::kAdmissionPolicy:
       return "queued_work, reserved";
+    case Type::kSharePolicy:
+      return "backlog, admission";
   }
   return "";
 }
@@ -355,6 +364,11 @@
       settings.admission = policy.value_or(settings.admission);
       return policy.has_value();
     }
+    case Type::kSharePolicy: {
+      const std::optional<SharePolicy> policy = SharePolicyFromName(text);
+      settings.shares = policy.value_or(settings.shares);
+      return policy.has_value();
+    }
   }
   return false;
 }
@@ -378,6 +392,9 @@
     std::string operator()(AdmissionPolicy Settings::*field) const {
       return std::string(AdmissionPolicyName(settings.*field));
     }
+    std::string operator()(SharePolicy Settings::*field) const {
+      return std::string(SharePolicyName(settings.*field));
+    }
     std::string operator()(uint32_t Settings::*field) const {
       return key.type == Type::kThousandths ? FormatThousandths(settings.*field)
                                             : absl::StrCat(settings.*field);
@@ -629,6 +646,7 @@
     case Type::kLogLevel:
       return "level";
     case Type::kAdmissionPolicy:
+    case Type::kSharePolicy:
       return "policy";
   }
   return "";
--- a/tests/admission_load_test.cc
+++ b/tests/admission_load_test.cc
@@ -331,9 +331,12 @@
   LoadResult result_;
 };
 
-PolicySchedulerSettings MakeSettings(AdmissionPolicy admission) {
+PolicySchedulerSettings MakeSettings(
+    AdmissionPolicy admission,
+    SharePolicy shares = SharePolicy::kAdmission) {
   PolicySchedulerSettings settings;
   settings.admission = admission;
+  settings.shares = shares;
   // As `PlatformDaemon` sets them for tasks of many slots.
   settings.aging *= 27;
   settings.reserve_after = absl::Seconds(60);
--- a/tests/settings_test.cc
+++ b/tests/settings_test.cc
@@ -60,10 +60,12 @@
                    "[daemon]\nlog_level = debug\nweight = 7\n"
                    "cpu_share = 0.09\n"
                    "[peers]\nseeds = 10.0.0.2:1, 10.0.0.3:2\n"
-                   "[scheduling]\nadmission = reserved\n"),
+                   "[scheduling]\nadmission = reserved\n"
+                   "shares = admission\n"),
       "test.ini", &error);
   ASSERT_TRUE(settings.has_value()) << error.ToString();
   EXPECT_EQ(settings->admission, AdmissionPolicy::kReserved);
+  EXPECT_EQ(settings->shares, SharePolicy::kAdmission);
   EXPECT_EQ(settings->platform_address, "10.0.0.1:80");
   EXPECT_EQ(settings->platform_timeout, absl::Milliseconds(250));
   EXPECT_EQ(settings->max_body_bytes, 2048u);
@@ -115,6 +117,7 @@
                          "[daemon]\nweight = 99999999999999999999",
                          "[daemon]\nlog_level = loud",
                          "[scheduling]\nadmission = all",
+                         "[scheduling]\nshares = all",
                          "[daemon]\ncaller_address = host:80",
                          "[daemon]\ncaller_address = 127.0.0.1",
                          "[daemon]\ncaller_address = 127.0.0.256:80",
