--- a/src/admission_shares.cc
+++ b/src/admission_shares.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 
 namespace radishrail::internal {
 
@@ -21,6 +20,9 @@
 // Part of the capacity that is divided. Less than all, since jobs with little
 // time find no room where all slots are in use.
 constexpr double kSharedCapacity = 0.9;
+// Nothing is left free while less than this part of it was admitted. Offers do
+// not show it, since a job that another pool refused is offered again here.
+constexpr double kScarceShare = 0.85;
 // Changes of the slots that environments over their share leave free: up with
 // each job within its share that finds no room, down with each that does. The
 // environments within their shares are thus refused every eleventh job at most.
@@ -132,7 +134,11 @@
     left -= rates[i];
     level_ = capacity;
   }
-  scarce_ = std::accumulate(rates.begin(), rates.end(), 0.0) > capacity;
+  double admitted = 0;
+  for (const auto& it : environments_) {
+    admitted += it.admitted.At(kWorkDecaySeconds, now_s) / kWorkDecaySeconds;
+  }
+  scarce_ = admitted > kScarceShare * capacity;
   any_over_share_ = std::any_of(
       environments_.begin(), environments_.end(),
       [this, now_s](const Environment& it) { return OverShare(it, now_s); });
@@ -143,6 +149,9 @@
                                  double capacity,
                                  double now_s) {
   UpdateLevel(kSharedCapacity * capacity, now_s);
+  if (!scarce_) {
+    return 0;
+  }
   double headroom = OverShare(FindEnvironment(group.environment), now_s)
                         ? share_headroom_
                         : 0;
--- a/src/admission_shares.h
+++ b/src/admission_shares.h
@@ -63,7 +63,7 @@
   // Work per second up to which every environment is served.
   double level_ = 0;
   double level_time_s_ = -1;
-  bool scarce_ = false;  // more work is offered than can be done
+  bool scarce_ = false;  // nearly all that can be done was admitted
   bool any_over_share_ = false;
   // Part of the slots that environments over their share leave free.
   double share_headroom_ = 0;
--- a/tests/admission_load_test.cc
+++ b/tests/admission_load_test.cc
@@ -99,7 +99,8 @@
 
   double Percentile(double share) {
     std::sort(response_s.begin(), response_s.end());
-    return response_s[static_cast<size_t>(share * (response_s.size() - 1))];
+    return response_s[static_cast<size_t>(
+        share * static_cast<double>(response_s.size() - 1))];
   }
 };
 
@@ -188,7 +189,7 @@
 
   void ScheduleArrivals() {
     double work_rate = 0;
-    for (const JobKind& it : kKinds) {
+    for (const JobKind& it : kinds_) {
       work_rate += it.rate * it.tasks * it.estimate_s * kMeanSlots;
     }
     double capacity = 0;
@@ -198,7 +199,7 @@
     // Mean of the run times of a task per its estimate, with the tail.
     constexpr double kMeanRun = 0.97 + 0.03 * 7;
     const double scale = options_.load * capacity / (work_rate * kMeanRun);
-    for (const JobKind& it : kKinds) {
+    for (const JobKind& it : kinds_) {
       const auto factor = options_.factors.find(it.name);
       const double rate =
           it.rate * scale *
@@ -315,7 +316,7 @@
 
   static constexpr int kMeanSlots = 32;
   // Clock-in, payroll check, approval; rates of the sheets.
-  const std::vector<JobKind> kKinds = {{"short", 8, 0.051, 181},
+  const std::vector<JobKind> kinds_ = {{"short", 8, 0.051, 181},
                                        {"long", 4, 0.76, 33},
                                        {"middle", 2, 0.17, 528}};
   const LoadOptions options_;
