--- a/tests/admission_load_test.cc
+++ b/tests/admission_load_test.cc
@@ -34,6 +34,7 @@
   // Whether each kind has a queue (environment) of its own.
   bool queue_per_kind = true;
   std::string urgent_kind = {};  // empty: all alike
+  SharePolicy shares = SharePolicy::kAdmission;
 };
 
 struct KindResult {
@@ -350,7 +351,8 @@
   LoadResult sum;
   for (const uint64_t seed : {1, 2, 3}) {
     options.seed = seed;
-    sum.Add(AdmissionLoad(MakeSettings(admission), options).Run());
+    sum.Add(
+        AdmissionLoad(MakeSettings(admission, options.shares), options).Run());
   }
   return sum;
 }
@@ -372,7 +374,17 @@
   int in_time_before = 0;
 };
 
-class AdmissionLoadTest : public ::testing::TestWithParam<LoadCase> {};
+class AdmissionLoadTest : public ::testing::TestWithParam<LoadCase> {
+ protected:
+  static void ExpectBetter(LoadResult before, LoadResult after) {
+    EXPECT_LT(after.late_by_limit, 0.05 * after.refused);
+    EXPECT_GE(after.in_time, GetParam().in_time_before);
+    EXPECT_GE(after.in_time, before.in_time);
+    EXPECT_GE(after.work_in_time, before.work_in_time);
+    EXPECT_LT(after.given_up, before.given_up);
+    EXPECT_LE(after.Percentile(0.9), before.Percentile(0.9));
+  }
+};
 
 // Guards against admitting jobs that are refused late or end late: callers
 // could have gone elsewhere in time.
@@ -386,11 +398,11 @@
   LoadResult after = RunSeeds(AdmissionPolicy::kReserved, options);
   before.Print("queued work");
   after.Print("reserved");
-  EXPECT_LT(after.late_by_limit, 0.05 * after.refused);
-  EXPECT_GE(after.in_time, GetParam().in_time_before);
-  EXPECT_GE(after.in_time, before.in_time);
-  EXPECT_GE(after.work_in_time, before.work_in_time);
-  EXPECT_LE(after.Percentile(0.9), before.Percentile(0.9));
+  ExpectBetter(before, after);
+  options.shares = SharePolicy::kBacklog;
+  after = RunSeeds(AdmissionPolicy::kReserved, options);
+  after.Print("reserved, shares by backlog");
+  ExpectBetter(before, after);
 }
 
 // The same with a queue for each kind: fewer jobs may be in time, but their
