--- a/src/settings.cc
+++ b/src/settings.cc
@@ -33,6 +33,8 @@
   kBytes,
   kDuration,
   kLogLevel,
+  kAdmissionPolicy,
+  kSharePolicy,
 };
 
 using Field = std::variant<std::string Settings::*,
@@ -41,7 +43,9 @@
                            int Settings::*,
                            size_t Settings::*,
                            absl::Duration Settings::*,
-                           LogLevel Settings::*>;
+                           LogLevel Settings::*,
+                           AdmissionPolicy Settings::*,
+                           SharePolicy Settings::*>;
 
 struct Key {
   std::string_view section;
@@ -130,6 +134,16 @@
         "callers' connections open at once"},
     Key{"requests", "idle_timeout", Type::kDuration, &Settings::idle_timeout,
         1000, 600000, false, "time after which an idle connection is closed"},
+    Key{"scheduling", "admission", Type::kAdmissionPolicy, &Settings::admission,
+        0, 0, false,
+        "with `--platform`, what admits a job: the queued work of smaller "
+        "jobs, "
+        "or room beside all admitted jobs"},
+    Key{"scheduling", "shares", Type::kSharePolicy, &Settings::shares, 0, 0,
+        false,
+        "with `--platform`, where shares act: on the order of tasks while much "
+        "work is queued, or at admission as well, if `admission` is "
+        "`reserved`"},
 };
 
 bool IsName(std::string_view text) {
@@ -257,6 +271,10 @@
                           FormatMilliseconds(key.max));
     case Type::kLogLevel:
       return "debug, info, warning, error";
+    case Type::kAdmissionPolicy:
+      return "queued_work, reserved";
+    case Type::kSharePolicy:
+      return "backlog, admission";
   }
   return "";
 }
@@ -340,6 +358,17 @@
       }
       return level.has_value();
     }
+    case Type::kAdmissionPolicy: {
+      const std::optional<AdmissionPolicy> policy =
+          AdmissionPolicyFromName(text);
+      settings.admission = policy.value_or(settings.admission);
+      return policy.has_value();
+    }
+    case Type::kSharePolicy: {
+      const std::optional<SharePolicy> policy = SharePolicyFromName(text);
+      settings.shares = policy.value_or(settings.shares);
+      return policy.has_value();
+    }
   }
   return false;
 }
@@ -360,6 +389,12 @@
     std::string operator()(LogLevel Settings::*field) const {
       return std::string(LogLevelName(settings.*field));
     }
+    std::string operator()(AdmissionPolicy Settings::*field) const {
+      return std::string(AdmissionPolicyName(settings.*field));
+    }
+    std::string operator()(SharePolicy Settings::*field) const {
+      return std::string(SharePolicyName(settings.*field));
+    }
     std::string operator()(uint32_t Settings::*field) const {
       return key.type == Type::kThousandths ? FormatThousandths(settings.*field)
                                             : absl::StrCat(settings.*field);
@@ -610,6 +645,9 @@
       return "duration";
     case Type::kLogLevel:
       return "level";
+    case Type::kAdmissionPolicy:
+    case Type::kSharePolicy:
+      return "policy";
   }
   return "";
 }
