Choose the pool of a job by the free room for its tasks' size

Cause: the entry daemon knew slots, busy slots and backlog of reports up to 100 ms old. They do not tell whether a task of half an upstream fits, and all daemons with the same report chose the same pool. Jobs waited in a full pool while others were free, and a job that fits nowhere was offered to three pools, each with the whole promise again. Change: owners report for up to eight quantiles of recent sizes how many tasks fit and when the next one will (`free_room`); refusals carry the same. `PoolView` corrects a report by its age, by what the daemon has offered since and by the growth from others, keeps jobs in their own failure domain while no other starts them 25 ms earlier, and draws among equal pools in proportion to their room. After a refusal for lack of room, a job is offered only where it may still fit, with the rest of its promise. Without reported room, as from an older release, the choice is as before. `Job_CancelledWhileQueuedAtOtherDaemon_StartsNowhere` relied on a job that queues in a full pool beside a free one. It now fills both pools first; what it checks is unchanged.

--- a/include/radishrail/peer_message.h
+++ b/include/radishrail/peer_message.h
@@ -360,6 +360,7 @@
   // Load of the pool, as in `PoolClaim`.
   uint32_t busy_slots = 0;
   uint32_t backlog_ms = 0;
+  std::vector<PoolRoom> room;  // refusals only
   MSGPACK_DEFINE(request,
                  key,
                  status,
@@ -367,7 +368,8 @@
                  detail,
                  retry_after_ms,
                  busy_slots,
-                 backlog_ms);
+                 backlog_ms,
+                 room);
 };
 
 // Ends a queued or running job. Request 0: the caller has disconnected and no
--- a/include/radishrail/policy_scheduler.h
+++ b/include/radishrail/policy_scheduler.h
@@ -86,6 +86,7 @@
   void SetUpstream(const UpstreamCapacity& capacity) override;
   void RemoveUpstream(UpstreamId upstream) override;
   SchedulerLoad load() const override;
+  std::vector<RoomForSize> room() override;
   size_t queued_tasks() const override;
   size_t running_tasks() const override;
 
--- a/include/radishrail/pool_dispatcher.h
+++ b/include/radishrail/pool_dispatcher.h
@@ -88,6 +88,7 @@
   // True if the last call of `Tick` is too long ago.
   bool paused() const;
   SchedulerLoad load() const { return scheduler_->load(); }
+  std::vector<RoomForSize> room() { return scheduler_->room(); }
   size_t jobs_in_progress() const { return jobs_.jobs_in_progress(); }
 
   // Upstreams lost under tasks, to be sent to peers and received from them.
--- a/include/radishrail/pool_router.h
+++ b/include/radishrail/pool_router.h
@@ -21,6 +21,8 @@
 #include "radishrail/peer_message.h"
 #include "radishrail/peer_transport.h"
 #include "radishrail/pool_ownership.h"
+#include "radishrail/pool_view.h"
+#include "radishrail/random.h"
 #include "radishrail/routed_documents.h"
 #include "radishrail/timeline.h"
 
@@ -49,6 +51,7 @@
              const PoolOwnership& ownership,
              LocalSubmit submit_local,
              LocalCancel cancel_local,
+             Random& random,
              Metrics& metrics,
              Timeline& timeline,
              DecisionLog& log);
@@ -67,9 +70,8 @@
   bool Withdraw(const std::string& key);
   void OnReply(const PoolJobReply& reply);
   void OnPeerDisconnected(const std::string& peer_address);
-  // Stores the load of a pool from a claim of its owner. The load is as old as
-  // the message that brought it; `PoolLoad::reported` is the time of receipt.
-  void OnClaim(const PoolClaim& claim);
+  // Stores the load of a pool from a claim that its owner sent at `sent`.
+  void OnClaim(const PoolClaim& claim, absl::Time sent);
   // Offers no job to the pools of these failure domains from now on.
   void SetEvacuated(std::set<std::string> domains) {
     evacuated_ = std::move(domains);
@@ -91,10 +93,12 @@
   struct Offer {
     JobSpec job;
     std::shared_ptr<const VersionedDocument> document;
-    int slots = 0;
+    RoomDemand demand;
     absl::Time deadline;
     std::vector<std::string> tried;
-    bool withdrawn = false;  // offered to no further pool
+    bool withdrawn = false;     // offered to no further pool
+    bool overloaded = false;    // a pool refused it for lack of room
+    bool fits_nowhere = false;  // no untried pool can run it in time
     // Callers that wait for the answer, by number of their submission. Empty
     // once the job has its final answer or is abandoned.
     std::map<uint64_t, AnswerCallback> callers;
@@ -109,16 +113,14 @@
     absl::Time deadline;
   };
 
-  struct PoolLoad {
-    int slots = 0;
-    int busy = 0;  // includes the jobs offered since the last report
-    absl::Duration backlog;
-    absl::Time reported;  // when the last claim or reply was received
-  };
-
-  // Claim of the untried pool with the least expected wait. A copy, since the
-  // owner may time out before the offer is made.
-  std::optional<PoolClaim> ChoosePool(const Offer& offer) const;
+  // Claim of the untried pool that the job is offered to. A job that was
+  // refused for lack of room is offered only where it may keep its promise. A
+  // copy, since the owner may time out before the offer is made.
+  std::optional<PoolClaim> ChoosePool(const Offer& offer);
+  // True if an accepting owner was not offered the job yet.
+  bool HasUntriedPool(const Offer& offer) const;
+  // Limits the promised time of a refused job to the rest of it.
+  void ReducePromise(Offer& offer, const std::string& pool) const;
   absl::Duration SilencePenalty(const std::string& pool,
                                 const PoolLoad& load) const;
   // Answer to a job that no pool can be offered.
@@ -146,6 +148,8 @@
   Counter& unknown_;
   Counter& without_owner_;
   Counter& offered_again_;
+  Counter& offered_for_room_;
+  Counter& fits_nowhere_;
   Timeline& timeline_;
   DecisionLog& log_;
   uint64_t next_request_;
@@ -156,7 +160,7 @@
   uint64_t next_submission_ = 1;
   // Peers at which jobs were given up, and until when they are told so.
   absl::flat_hash_map<std::string, absl::Time> given_up_until_;
-  absl::flat_hash_map<std::string, PoolLoad> loads_;
+  PoolView view_;
   std::set<std::string> evacuated_;
 };
 
--- a/include/radishrail/scheduler.h
+++ b/include/radishrail/scheduler.h
@@ -85,7 +85,6 @@
   int slots = 0;                                  // of accepting upstreams
   int busy_slots = 0;                             // occupied by placed tasks
   absl::Duration backlog = absl::ZeroDuration();  // queued work per capacity
-  std::vector<RoomForSize> room;                  // by ascending `slots`
 };
 
 // Decides which jobs are admitted, which task starts next and on which
@@ -121,6 +120,9 @@
   virtual void RemoveUpstream(UpstreamId upstream) = 0;
 
   virtual SchedulerLoad load() const { return {}; }
+  // Room for tasks of the sizes seen lately, by ascending size; empty: unknown.
+  // Costs more than `load`: linear in the number of upstreams.
+  virtual std::vector<RoomForSize> room() { return {}; }
   virtual size_t queued_tasks() const = 0;
   virtual size_t running_tasks() const = 0;
 };
--- a/src/policy_scheduler.cc
+++ b/src/policy_scheduler.cc
@@ -187,6 +187,7 @@
     load.backlog = absl::Seconds(queued_work_s_ / Capacity());
     return load;
   }
+  std::vector<RoomForSize> room() { return pools_.Room(Now()); }
   size_t queued_tasks() const { return queued_; }
   size_t running_tasks() const { return running_; }
 
@@ -1145,6 +1146,9 @@
 SchedulerLoad PolicyScheduler::load() const {
   return impl_->load();
 }
+std::vector<RoomForSize> PolicyScheduler::room() {
+  return impl_->room();
+}
 size_t PolicyScheduler::queued_tasks() const {
   return impl_->queued_tasks();
 }
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -188,6 +188,7 @@
               dispatcher_.Cancel(key, ErrorCode::kConnectionBroken,
                                  {"the client disconnected"});
             },
+            env.random,
             env.metrics,
             env.timeline,
             log_),
@@ -565,7 +566,7 @@
       env_.transport.Send(it, status);
     }
     for (const auto& it : status.claims) {
-      router_.OnClaim(it);
+      router_.OnClaim(it, now);
     }
   }
 
@@ -616,6 +617,7 @@
       claim.busy_slots = static_cast<uint32_t>(std::max(load.busy_slots, 0));
       claim.backlog_ms =
           static_cast<uint32_t>(absl::ToInt64Milliseconds(load.backlog));
+      claim.room = EncodeRoom(dispatcher_.room());
       status.claims.push_back(std::move(claim));
     }
     return status;
@@ -698,7 +700,7 @@
     for (const auto& it : status.claims) {
       ownership_.SetPools({it.pool});
       ownership_.OnClaim(it, sent);
-      router_.OnClaim(it);
+      router_.OnClaim(it, sent);
     }
   }
 
@@ -880,6 +882,9 @@
     reply.busy_slots = static_cast<uint32_t>(std::max(load.busy_slots, 0));
     reply.backlog_ms =
         static_cast<uint32_t>(absl::ToInt64Milliseconds(load.backlog));
+    if (IsRefusal(answer)) {
+      reply.room = EncodeRoom(dispatcher_.room());
+    }
     env_.transport.Send(job->address, reply);
   }
 
--- a/src/pool_router.cc
+++ b/src/pool_router.cc
@@ -13,12 +13,6 @@
 
 namespace {
 
-// Estimated wait, besides the backlog, of a job for which as many slots are
-// missing as the pool has in total; in proportion for other numbers of slots.
-constexpr absl::Duration kBusyPoolWait = absl::Milliseconds(120);
-// A pool of another failure domain is chosen only if its expected wait is
-// shorter by this much.
-constexpr absl::Duration kForeignPenalty = absl::Milliseconds(25);
 // Owners report ten times a second. An owner that is silent for longer may be
 // gone; its jobs would be lost when it counts as unresponsive.
 constexpr absl::Duration kReportOverdue = absl::Milliseconds(250);
@@ -26,6 +20,8 @@
 constexpr absl::Duration kReplyGracePeriod = absl::Milliseconds(200);
 // Number of pools that a job is offered to before it is refused.
 constexpr size_t kMaxOffers = 3;
+// An owner takes a promised time of zero for an absent one.
+constexpr absl::Duration kMinPromise = absl::Milliseconds(1);
 constexpr absl::Duration kNoOwnerRetry = absl::Milliseconds(500);
 // Evacuations take longer than takeovers of pools.
 constexpr absl::Duration kEvacuatedRetry = absl::Seconds(1);
@@ -35,12 +31,14 @@
 
 constexpr std::string_view kClientDisconnected = "the client disconnected";
 
-int SlotsOf(const JobSpec& job) {
-  int slots = 0;
+RoomDemand DemandOf(const JobSpec& job) {
+  RoomDemand demand;
   for (const auto& it : job.tasks) {
-    slots += it.declared_slots;
+    demand.slots += it.declared_slots;
+    demand.task_slots = std::max(demand.task_slots, it.declared_slots);
+    demand.longest = std::max(demand.longest, it.declared_run);
   }
-  return slots;
+  return demand;
 }
 
 // Encodes consecutive equal tasks as one step.
@@ -69,6 +67,7 @@
                        const PoolOwnership& ownership,
                        LocalSubmit submit_local,
                        LocalCancel cancel_local,
+                       Random& random,
                        Metrics& metrics,
                        Timeline& timeline,
                        DecisionLog& log)
@@ -88,43 +87,45 @@
       offered_again_(
           metrics.counter("radishrail_pool_jobs_offered_again_total",
                           "Jobs that a pool refused, offered to another")),
+      offered_for_room_(metrics.counter(
+          "radishrail_pool_jobs_offered_for_room_total",
+          "Jobs first offered outside of the daemon's failure domain")),
+      fits_nowhere_(metrics.counter(
+          "radishrail_pool_jobs_fit_nowhere_total",
+          "Jobs not offered again since they fit in no other pool in time")),
       timeline_(timeline),
       log_(log),
-      next_request_(first_request) {}
+      next_request_(first_request),
+      view_(failure_domain_, random) {}
 
-void PoolRouter::OnClaim(const PoolClaim& claim) {
-  loads_[claim.pool] = {
-      static_cast<int>(claim.slots), static_cast<int>(claim.busy_slots),
-      absl::Milliseconds(claim.backlog_ms), clock_.Monotonic()};
+void PoolRouter::OnClaim(const PoolClaim& claim, absl::Time sent) {
+  view_.OnReport(
+      claim.pool,
+      {static_cast<int>(claim.slots), static_cast<int>(claim.busy_slots),
+       absl::Milliseconds(claim.backlog_ms), DecodeRoom(claim.room), sent,
+       clock_.Monotonic()});
 }
 
-std::optional<PoolClaim> PoolRouter::ChoosePool(const Offer& offer) const {
-  std::optional<PoolClaim> best;
-  absl::Duration best_wait = absl::InfiniteDuration();
+std::optional<PoolClaim> PoolRouter::ChoosePool(const Offer& offer) {
+  const absl::Time now = clock_.Monotonic();
+  std::vector<PoolView::Candidate> candidates;
   for (const auto& name : ownership_.Pools()) {
     const PoolClaim* owner = ownership_.Owner(name);
-    const auto load = loads_.find(name);
-    if (owner == nullptr || load == loads_.end() || !owner->accepting ||
-        load->second.slots == 0 || evacuated_.contains(name) ||
+    const PoolLoad* load = view_.Find(name);
+    if (owner == nullptr || load == nullptr || !owner->accepting ||
+        load->slots == 0 || evacuated_.contains(name) ||
         std::find(offer.tried.begin(), offer.tried.end(), name) !=
             offer.tried.end()) {
       continue;
     }
-    const PoolLoad& it = load->second;
-    const int missing_slots =
-        std::clamp(offer.slots - (it.slots - it.busy), 0, offer.slots);
-    absl::Duration wait =
-        it.backlog + kBusyPoolWait * missing_slots / std::max(it.slots, 1);
-    if (name != failure_domain_) {
-      wait += kForeignPenalty;
-    }
-    wait += SilencePenalty(name, it);
-    if (wait < best_wait) {
-      best_wait = wait;
-      best = *owner;
+    if (offer.overloaded && !view_.MayFit(name, offer.demand, now)) {
+      continue;
     }
+    candidates.push_back({name, SilencePenalty(name, *load)});
   }
-  return best;
+  const auto pool = view_.Choose(candidates, offer.demand, now);
+  const PoolClaim* owner = pool.has_value() ? ownership_.Owner(*pool) : nullptr;
+  return owner != nullptr ? std::optional(*owner) : std::nullopt;
 }
 
 // A job waits at a silent owner for at least as long as the silence has lasted.
@@ -149,20 +150,18 @@
     return submission;
   }
   RecordEvent(EventType::kJobReceived, job.key, "", "");
-  absl::Duration longest = absl::ZeroDuration();
-  for (const auto& it : job.tasks) {
-    longest = std::max(longest, it.declared_run);
-  }
+  const RoomDemand demand = DemandOf(job);
   job.environment = route.document->document.environment;
   job.upstream_class = route.upstream_class;
   job.priority = route.priority;
-  job.promised = route.base + route.stretch * longest;
+  job.promised = route.base + route.stretch * demand.longest;
   for (auto& it : job.tasks) {
     it.kind = job.environment;
     it.max_failures = route.max_failures;
   }
   auto offer = std::make_shared<Offer>();
-  offer->slots = SlotsOf(job);
+  offer->demand = demand;
+  offer->demand.promise_by = clock_.Monotonic() + job.promised;
   offer->deadline = clock_.Monotonic() + job.deadline;
   offer->job = std::move(job);
   offer->document = route.document;
@@ -192,24 +191,49 @@
                       TaskErrors::kOmitted);
 }
 
+// Where the room is unknown, whether the rest suffices is unknown as well.
+void PoolRouter::ReducePromise(Offer& offer, const std::string& pool) const {
+  if (offer.tried.size() > 1 && view_.IsRoomKnown(pool, offer.demand)) {
+    offer.job.promised =
+        std::max(offer.demand.promise_by - clock_.Monotonic(), kMinPromise);
+  }
+}
+
+bool PoolRouter::HasUntriedPool(const Offer& offer) const {
+  const auto pools = ownership_.Pools();
+  return std::any_of(pools.begin(), pools.end(), [&](const auto& name) {
+    const PoolClaim* owner = ownership_.Owner(name);
+    return owner != nullptr && owner->accepting && !evacuated_.contains(name) &&
+           std::find(offer.tried.begin(), offer.tried.end(), name) ==
+               offer.tried.end();
+  });
+}
+
 void PoolRouter::MakeOffer(const OfferPointer& offer, const PoolClaim& pool) {
   offer->tried.push_back(pool.pool);
-  PoolLoad& load = loads_[pool.pool];
+  const absl::Time now = clock_.Monotonic();
+  const PoolLoad load = *view_.Find(pool.pool);
   log_.Write(
       offer->tried.size() > 1 ? Decision::kJobOfferedAgain
                               : Decision::kJobOffered,
       offer->job.key, pool.pool,
       {{"owner", pool.owner},
-       {"slots_wanted", absl::StrCat(offer->slots)},
+       {"slots_wanted", absl::StrCat(offer->demand.slots)},
+       {"task_slots", absl::StrCat(offer->demand.task_slots)},
        {"slots", absl::StrCat(load.slots)},
        {"busy_slots", absl::StrCat(load.busy)},
+       {"room", view_.DescribeRoom(pool.pool, offer->demand)},
        {"backlog_ms", absl::StrCat(absl::ToInt64Milliseconds(load.backlog))},
-       {"load_age_ms", absl::StrCat(absl::ToInt64Milliseconds(
-                           clock_.Monotonic() - load.reported))},
+       {"load_age_ms",
+        absl::StrCat(absl::ToInt64Milliseconds(now - load.reported))},
        {"config_version", absl::StrCat(offer->document->version)}});
-  load.busy += offer->slots;
+  if (offer->tried.size() == 1 && pool.pool != failure_domain_) {
+    offered_for_room_.Add();
+  }
+  view_.OnOffered(pool.pool, offer->demand, now);
   offer->job.deadline =
       std::max(offer->deadline - clock_.Monotonic(), absl::ZeroDuration());
+  ReducePromise(*offer, pool.pool);
   if (ownership_.OwnedFence(pool.pool) != 0) {
     RecordEvent(EventType::kJobForwarded, offer->job.key, "this daemon",
                 absl::StrCat("pool ", pool.pool));
@@ -237,7 +261,15 @@
   std::optional<PoolClaim> next_pool;
   if (IsRefusal(answer) && offer->tried.size() < kMaxOffers &&
       clock_.Monotonic() < offer->deadline) {
+    // Other refusals, as of an owner that has just changed, do not tell that
+    // there is too little room.
+    offer->overloaded =
+        offer->overloaded || answer.error.code == ErrorCode::kOverloaded;
     next_pool = ChoosePool(*offer);
+    if (!next_pool.has_value() && HasUntriedPool(*offer)) {
+      fits_nowhere_.Add();
+      offer->fits_nowhere = true;
+    }
   }
   if (!next_pool.has_value()) {
     Answer(offer, answer);
@@ -259,6 +291,8 @@
     log_.Write(Decision::kJobRefused, offer->job.key,
                ErrorCodeName(answer.error.code),
                {{"pools_tried", absl::StrJoin(offer->tried, ",")},
+                {"not_offered_on",
+                 offer->fits_nowhere ? "fits in no other pool in time" : ""},
                 {"detail", answer.error.detail},
                 {"retry_after_ms",
                  absl::StrCat(absl::ToInt64Milliseconds(answer.retry_after))}});
@@ -320,10 +354,7 @@
   answer.error = {static_cast<ErrorCode>(reply.error), Step::kForward,
                   pending.address, reply.detail};
   answer.retry_after = absl::Milliseconds(reply.retry_after_ms);
-  PoolLoad& load = loads_[pending.pool];
-  load.busy = static_cast<int>(reply.busy_slots);
-  load.backlog = absl::Milliseconds(reply.backlog_ms);
-  load.reported = clock_.Monotonic();
+  view_.OnReply(pending.pool, reply, clock_.Monotonic());
   OnAnswer(pending.offer, answer);
 }
 
@@ -345,14 +376,16 @@
   answer.key = key;
   answer.status = JobStatus::kFailed;
   answer.error = {code, Step::kForward, pending.address, reason};
+  const PoolLoad* load = view_.Find(pending.pool);
   log_.Write(Decision::kJobUnknown, key, ErrorCodeName(code),
              {{"pool", pending.pool},
               {"owner", pending.address},
               {"fence", absl::StrCat(pending.fence)},
               {"entry_request", absl::StrCat(request)},
               {"owner_report_age_ms",
-               absl::StrCat(absl::ToInt64Milliseconds(
-                   clock_.Monotonic() - loads_[pending.pool].reported))},
+               load == nullptr ? ""
+                               : absl::StrCat(absl::ToInt64Milliseconds(
+                                     clock_.Monotonic() - load->reported))},
               {"detail", reason}});
   RecordEvent(EventType::kJobCancelled, key, pending.address, reason);
   log_.WriteCancelHistory(key, timeline_);
--- a/src/upstream_pools.cc
+++ b/src/upstream_pools.cc
@@ -4,6 +4,14 @@
 
 namespace radishrail::internal {
 
+namespace {
+
+// Statuses are sent ten times a second; replies of refusal between them carry
+// the room as well. An entry daemon allows for this interval.
+constexpr double kRoomInterval = 0.01;  // seconds
+
+}  // namespace
+
 UpstreamPools::UpstreamPools(SpillPolicy spill, double home_preference)
     : spill_(spill), home_preference_(home_preference) {}
 
@@ -69,11 +77,15 @@
 
 void UpstreamPools::Occupy(UpstreamId id, int slots) {
   upstreams_[id].occupied += slots;
+  if (slots < 0) {
+    free_room_.OnReleased(-slots);
+  }
   Update(id);
 }
 
 PoolId UpstreamPools::FindPool(const std::vector<std::string>& classes,
                                int slots) {
+  free_room_.OnTask(slots);
   for (PoolId i = 0; i < pools_.size(); ++i) {
     if (pools_[i].slots == slots && pools_[i].classes == classes) {
       return i;
@@ -188,6 +200,26 @@
   }
 }
 
+const std::vector<RoomForSize>& UpstreamPools::Room(double now_s) {
+  if (seen_classes_.size() > 1) {
+    room_.clear();
+    return room_;
+  }
+  if (room_computed_s_ >= 0 && now_s - room_computed_s_ < kRoomInterval) {
+    return room_;
+  }
+  room_computed_s_ = now_s;
+  std::vector<FreeRoom::Upstream> usable;
+  usable.reserve(upstreams_.size());
+  for (const auto& it : upstreams_) {
+    if (it.registered && it.accepting) {
+      usable.push_back({it.slots, it.slots - it.occupied});
+    }
+  }
+  room_ = free_room_.Compute(usable, now_s);
+  return room_;
+}
+
 bool UpstreamPools::HasSeenClass(
     const std::vector<std::string>& classes) const {
   return std::any_of(
--- a/src/upstream_pools.h
+++ b/src/upstream_pools.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "free_room.h"
 #include "radishrail/policy_scheduler.h"
 #include "radishrail/scheduler.h"
 #include "tournament_tree.h"
@@ -56,6 +57,10 @@
   int total_slots() const { return total_slots_; }
   // Sum of slots times speed.
   double capacity() const { return capacity_; }
+  // Room for tasks of the sizes that `FindPool` was called with lately;
+  // recomputed at most each `kRoomInterval`. Empty while upstreams of more than
+  // one class are known, since it does not tell them apart.
+  const std::vector<RoomForSize>& Room(double now_s);
   // Highest speed that an accepting upstream has had so far, at least 1.
   double top_speed() const { return top_speed_; }
 
@@ -117,6 +122,9 @@
   int total_slots_ = 0;
   double capacity_ = 0;
   double top_speed_ = 1;
+  FreeRoom free_room_;
+  std::vector<RoomForSize> room_;
+  double room_computed_s_ = -1;
 };
 
 }  // namespace radishrail::internal
--- a/tests/peer_message_test.cc
+++ b/tests/peer_message_test.cc
@@ -31,6 +31,33 @@
   EXPECT_LE(EncodePeerMessage(heartbeat).size(), 256u);
 }
 
+// Guards against reports of free room that make the statuses of owners, which
+// go to all daemons ten times a second, considerably larger.
+TEST(PeerMessageTest, PoolStatus_WithRoomOfEightSizes_GrowsByLittle) {
+  PoolStatus status;
+  status.claims.resize(1);
+  PoolClaim& claim = status.claims.front();
+  claim.pool = "bc-lower-mainland-a";
+  claim.owner = "edge-bc-lm-a-12";
+  claim.address = "10.0.0.12:7302";
+  claim.fence = 1000;
+  claim.slots = 17000;
+  claim.busy_slots = 12000;
+  claim.backlog_ms = 700;
+  status.document_version = 1000;
+  status.sent_us = int64_t{1} << 40;
+  status.client_contact_us = status.sent_us;
+  status.oldest_request = uint64_t{1} << 60;
+  const size_t without = EncodePeerMessage(status).size();
+  for (uint32_t i = 1; i <= 8; ++i) {
+    claim.room.push_back({40 + 8 * i, 300, 0});
+  }
+  const size_t with = EncodePeerMessage(status).size();
+  RecordProperty("bytes_without", static_cast<int>(without));
+  RecordProperty("bytes_with", static_cast<int>(with));
+  EXPECT_LE(with, without + 64);
+}
+
 // Guards against an out-of-range enumerator that would index a name table.
 TEST(PeerMessageTest, Decode_MemberStateOutOfRange_Fails) {
   MemberRecord record = TestRecord();
--- a/tests/pool_fleet_test.cc
+++ b/tests/pool_fleet_test.cc
@@ -92,6 +92,8 @@
 // Guards against the same where the daemon that took the job has handed it to
 // the owner of a pool, and another daemon cancels it there.
 TEST_F(PoolFleetTest, Job_CancelledWhileQueuedAtOtherDaemon_StartsNowhere) {
+  // With room in the other pool, the job would start there.
+  SubmitToFullPool("d2", absl::Seconds(1));
   SubmitToFullPool("d1", absl::Seconds(1));
   const std::string owner = fleet_.OwnerOf("d1");
   const std::string key = fleet_.Submit(owner == "d1n0" ? "d1n1" : "d1n0", 1);
--- a/tests/pool_router_test.cc
+++ b/tests/pool_router_test.cc
@@ -39,7 +39,8 @@
     ownership_.SetPools({"d1", "d2"});
   }
 
-  void ReceiveClaim(const std::string& pool = "d1") {
+  void ReceiveClaim(const std::string& pool = "d1",
+                    const std::vector<PoolRoom>& room = {}) {
     PoolClaim claim;
     claim.pool = pool;
     claim.fence = ++fence_;
@@ -47,11 +48,12 @@
     claim.address = absl::StrCat("10.0.0.", pool == "d1" ? 1 : 2, ":7302");
     claim.accepting = true;
     claim.slots = 64;
+    claim.room = room;
     ownership_.OnClaim(claim, clock_.Monotonic());
-    router_.OnClaim(claim);
+    router_.OnClaim(claim, clock_.Monotonic());
   }
   // The owner that got the last message refuses the job.
-  void ReceiveRefusal() {
+  void ReceiveRefusal(const std::vector<PoolRoom>& room = {}) {
     const auto& request =
         std::get<PoolJobRequest>(transport_.sent.back().second);
     PoolJobReply reply;
@@ -60,6 +62,8 @@
     reply.status = static_cast<uint32_t>(JobStatus::kNotRun);
     reply.error = static_cast<uint32_t>(ErrorCode::kOverloaded);
     reply.detail = "the promise cannot be kept";
+    reply.retry_after_ms = 100;
+    reply.room = room;
     router_.OnReply(reply);
   }
   void Submit() {
@@ -93,6 +97,7 @@
                         const std::shared_ptr<const VersionedDocument>&,
                         const PoolRouter::AnswerCallback&) {},
                      [](const std::string&) {},
+                     random_,
                      metrics_,
                      timeline_,
                      log_};
@@ -221,5 +226,37 @@
   EXPECT_TRUE(transport_.sent.empty());
 }
 
+// Guards against chains of refusals by pools that have no room either, which
+// callers wait for.
+TEST_F(PoolRouterTest, OnReply_RefusedAndFitsNowhere_IsRefusedAtOnce) {
+  ReceiveClaim("d1", {{1, 1, 0}});
+  ReceiveClaim("d2", {{1, 0, 5000}});
+  Submit();
+  ReceiveRefusal({{1, 0, 5000}});
+  EXPECT_EQ(transport_.sent.size(), 1u);
+  ASSERT_TRUE(last_.has_value());
+  EXPECT_EQ(last_->status, JobStatus::kNotRun);
+  EXPECT_EQ(
+      metrics_.counter("radishrail_pool_jobs_fit_nowhere_total", "").value(),
+      1u);
+}
+
+// Guards against a job that is refused with room in another pool.
+TEST_F(PoolRouterTest, OnReply_RefusedAndFitsElsewhere_IsOfferedForTheRest) {
+  ReceiveClaim("d1", {{1, 1, 0}});
+  ReceiveClaim("d2", {{1, 1, 0}});
+  Submit();
+  const auto first = std::get<PoolJobRequest>(transport_.sent.back().second);
+  clock_.Advance(kDeadline / 4);
+  ReceiveClaim("d2", {{1, 1, 0}});
+  ReceiveRefusal({{1, 0, 5000}});
+  ASSERT_EQ(transport_.sent.size(), 2u);
+  const auto second = std::get<PoolJobRequest>(transport_.sent.back().second);
+  EXPECT_EQ(second.pool, "d2");
+  // An owner that took the whole promise for the rest would let the job wait
+  // until it is late.
+  EXPECT_LE(second.promised_ms, first.promised_ms * 3 / 4);
+}
+
 }  // namespace
 }  // namespace radishrail
