Spread the returns of refused callers over the seconds with room

Cause: most refusals carried `retry_after_ms` 100, which the wire rounds up to a second, so callers that were refused together came back together. Change: the entry daemon states whole seconds. Going before new jobs after a refusal is not begun; docs/design/free-room.md says why.

--- a/include/radishrail/pool_router.h
+++ b/include/radishrail/pool_router.h
@@ -28,6 +28,10 @@
 
 namespace radishrail {
 
+namespace internal {
+class RetrySchedule;
+}
+
 // The entry daemon's side of dispatch to pools: chooses the pool of each job,
 // forwards the job to the pool's owner and matches the reply. A job that an
 // owner refused as not run is offered to other pools. If the owner becomes
@@ -55,6 +59,7 @@
              Metrics& metrics,
              Timeline& timeline,
              DecisionLog& log);
+  ~PoolRouter();
 
   // `callback` runs exactly once, unless the submission is abandoned before. A
   // submission of a job that has no final answer yet joins it. Returns the
@@ -126,7 +131,9 @@
   // Answer to a job that no pool can be offered.
   JobAnswer NoPoolAnswer(const JobSpec& job) const;
   void MakeOffer(const OfferPointer& offer, const PoolClaim& pool);
-  void Answer(const OfferPointer& offer, const JobAnswer& answer);
+  void Answer(const OfferPointer& offer, JobAnswer answer);
+  // The time after which the caller of a refused job returns.
+  absl::Duration RetryAfter(const Offer& offer, const JobAnswer& answer);
   void Forward(const PoolClaim& owner, const OfferPointer& offer);
   // Offers a job that was refused to another pool, or answers the caller.
   void OnAnswer(const OfferPointer& offer, const JobAnswer& answer);
@@ -162,6 +169,7 @@
   absl::flat_hash_map<std::string, absl::Time> given_up_until_;
   PoolView view_;
   std::set<std::string> evacuated_;
+  std::unique_ptr<internal::RetrySchedule> retries_;
 };
 
 }  // namespace radishrail
--- a/include/radishrail/pool_view.h
+++ b/include/radishrail/pool_view.h
@@ -74,6 +74,10 @@
               const RoomDemand& demand,
               absl::Time now) const;
   bool IsRoomKnown(const std::string& pool, const RoomDemand& demand) const;
+  // The shortest time until a pool may start such a job; nullopt if the room of
+  // all pools is unknown.
+  std::optional<absl::Duration> EarliestStart(const RoomDemand& demand,
+                                              absl::Time now) const;
   // The reported room for tasks of the job's size, for the log; empty: unknown.
   std::string DescribeRoom(const std::string& pool,
                            const RoomDemand& demand) const;
--- a/src/pool_router.cc
+++ b/src/pool_router.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "radishrail/job_answers.h"
+#include "retry_schedule.h"
 
 namespace radishrail {
 
@@ -96,7 +97,9 @@
       timeline_(timeline),
       log_(log),
       next_request_(first_request),
-      view_(failure_domain_, random) {}
+      view_(failure_domain_, random),
+      retries_(std::make_unique<internal::RetrySchedule>(random)) {}
+PoolRouter::~PoolRouter() = default;
 
 void PoolRouter::OnClaim(const PoolClaim& claim, absl::Time sent) {
   view_.OnReport(
@@ -279,10 +282,26 @@
   MakeOffer(offer, *next_pool);
 }
 
-void PoolRouter::Answer(const OfferPointer& offer, const JobAnswer& answer) {
+// An owner knows when its own pool may have room, but not the others.
+absl::Duration PoolRouter::RetryAfter(const Offer& offer,
+                                      const JobAnswer& answer) {
+  const absl::Time now = clock_.Monotonic();
+  absl::Duration wait = answer.retry_after;
+  if (answer.error.code == ErrorCode::kOverloaded) {
+    wait = view_.EarliestStart(offer.demand, now).value_or(wait);
+  }
+  return retries_->Next(now, wait);
+}
+
+void PoolRouter::Answer(const OfferPointer& offer, JobAnswer answer) {
   if (offer->callers.empty()) {
     return;
   }
+  if (IsRefusal(answer) && answer.retry_after > absl::ZeroDuration()) {
+    answer.retry_after = RetryAfter(*offer, answer);
+  } else if (answer.status == JobStatus::kComplete) {
+    retries_->OnServed(clock_.Monotonic());
+  }
   const auto it = open_.find(offer->job.key);
   if (it != open_.end() && it->second == offer) {
     open_.erase(it);
--- a/src/pool_view.cc
+++ b/src/pool_view.cc
@@ -23,6 +23,8 @@
 // apart. Reports that are older than the upper bound say little in any case.
 constexpr absl::Duration kMinUncertainty = absl::Milliseconds(5);
 constexpr absl::Duration kMaxUncertainty = absl::Milliseconds(60);
+// Older reports are of owners that are gone.
+constexpr absl::Duration kMaxReportAge = absl::Seconds(1);
 // Weight of the newest interval in the growth of the load from other daemons.
 constexpr double kGrowthWeight = 0.5;
 // Shorter intervals between reports do not show a trend.
@@ -234,6 +236,20 @@
   return load != nullptr && RoomFor(*load, demand.task_slots) != nullptr;
 }
 
+std::optional<absl::Duration> PoolView::EarliestStart(const RoomDemand& demand,
+                                                      absl::Time now) const {
+  std::optional<absl::Duration> earliest;
+  for (const auto& [name, pool] : pools_) {
+    const Estimate estimate = EstimateWait(pool, demand, now);
+    if (estimate.known && pool.load.slots > 0 &&
+        now - pool.load.reported < kMaxReportAge) {
+      earliest =
+          std::min(earliest.value_or(absl::InfiniteDuration()), estimate.wait);
+    }
+  }
+  return earliest;
+}
+
 std::string PoolView::DescribeRoom(const std::string& name,
                                    const RoomDemand& demand) const {
   const PoolLoad* load = Find(name);
--- a/tests/pool_router_test.cc
+++ b/tests/pool_router_test.cc
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -258,5 +259,19 @@
   EXPECT_LE(second.promised_ms, first.promised_ms * 3 / 4);
 }
 
+// Guards against callers that return together a second after their refusal.
+TEST_F(PoolRouterTest, Answer_ManyAreRefused_ReturnsAreSpread) {
+  std::set<int64_t> delays;
+  for (int i = 0; i < 50; ++i) {
+    ReceiveClaim("d1", {{1, 1, 0}});
+    Submit();
+    ReceiveRefusal({{1, 0, 5000}});
+    ASSERT_TRUE(last_.has_value());
+    EXPECT_EQ(last_->retry_after % absl::Seconds(1), absl::ZeroDuration());
+    delays.insert(absl::ToInt64Seconds(last_->retry_after));
+  }
+  EXPECT_GT(delays.size(), 3u);
+}
+
 }  // namespace
 }  // namespace radishrail
