Offer refused jobs again where a route promises no time

Cause: without a target latency the promise of a job is zero, so it counted as late at once and was offered to no second pool. Change: such a job has no bound, and its request keeps a promise of zero.

--- a/include/radishrail/pool_view.h
+++ b/include/radishrail/pool_view.h
@@ -21,7 +21,7 @@
   int task_slots = 0;  // of the largest task
   // The longest task may take less than its declared run time.
   absl::Duration longest = absl::ZeroDuration();
-  absl::Time promise_by;  // monotonic
+  absl::Time promise_by;  // monotonic; InfiniteFuture: nothing is promised
 };
 
 // What the owner of a pool reported last.
--- a/src/pool_router.cc
+++ b/src/pool_router.cc
@@ -164,7 +164,9 @@
   }
   auto offer = std::make_shared<Offer>();
   offer->demand = demand;
-  offer->demand.promise_by = clock_.Monotonic() + job.promised;
+  offer->demand.promise_by = job.promised > absl::ZeroDuration()
+                                 ? clock_.Monotonic() + job.promised
+                                 : absl::InfiniteFuture();
   offer->deadline = clock_.Monotonic() + job.deadline;
   offer->job = std::move(job);
   offer->document = route.document;
@@ -196,7 +198,9 @@
 
 // Where the room is unknown, whether the rest suffices is unknown as well.
 void PoolRouter::ReducePromise(Offer& offer, const std::string& pool) const {
-  if (offer.tried.size() > 1 && view_.IsRoomKnown(pool, offer.demand)) {
+  if (offer.tried.size() > 1 &&
+      offer.demand.promise_by != absl::InfiniteFuture() &&
+      view_.IsRoomKnown(pool, offer.demand)) {
     offer.job.promised =
         std::max(offer.demand.promise_by - clock_.Monotonic(), kMinPromise);
   }
--- a/tests/pool_router_test.cc
+++ b/tests/pool_router_test.cc
@@ -259,6 +259,19 @@
   EXPECT_LE(second.promised_ms, first.promised_ms * 3 / 4);
 }
 
+// Guards against a route that promises no time, whose jobs would count as late
+// from the start and be offered to one pool only.
+TEST_F(PoolRouterTest, OnReply_RefusedAndNothingIsPromised_IsOfferedAgain) {
+  route_.base = absl::ZeroDuration();
+  ReceiveClaim("d1", {{1, 1, 0}});
+  ReceiveClaim("d2", {{1, 1, 0}});
+  Submit();
+  ReceiveRefusal({{1, 0, 5000}});
+  ASSERT_EQ(transport_.sent.size(), 2u);
+  EXPECT_EQ(std::get<PoolJobRequest>(transport_.sent.back().second).promised_ms,
+            0u);
+}
+
 // Guards against callers that return together a second after their refusal.
 TEST_F(PoolRouterTest, Answer_ManyAreRefused_ReturnsAreSpread) {
   std::set<int64_t> delays;
