--- a/src/policy_scheduler.cc
+++ b/src/policy_scheduler.cc
@@ -39,6 +39,9 @@
 SchedulerLoad PolicyScheduler::load() const {
   return impl_->load();
 }
+std::vector<RoomForSize> PolicyScheduler::room() {
+  return impl_->room();
+}
 size_t PolicyScheduler::queued_tasks() const {
   return impl_->queued_tasks();
 }
--- a/src/policy_scheduler_impl.h
+++ b/src/policy_scheduler_impl.h
@@ -222,6 +222,7 @@
     load.backlog = absl::Seconds(queued_work_s_ / Capacity());
     return load;
   }
+  std::vector<RoomForSize> room() { return pools_.Room(Now()); }
   size_t queued_tasks() const { return queued_; }
   size_t running_tasks() const { return running_; }
 
--- a/tests/pool_router_test.cc
+++ b/tests/pool_router_test.cc
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -39,7 +40,8 @@
     ownership_.SetPools({"d1", "d2"});
   }
 
-  void ReceiveClaim(const std::string& pool = "d1") {
+  void ReceiveClaim(const std::string& pool = "d1",
+                    const std::vector<PoolRoom>& room = {}) {
     PoolClaim claim;
     claim.pool = pool;
     claim.fence = ++fence_;
@@ -47,11 +49,12 @@
     claim.address = absl::StrCat("10.0.0.", pool == "d1" ? 1 : 2, ":7302");
     claim.accepting = true;
     claim.slots = 64;
+    claim.room = room;
     ownership_.OnClaim(claim, clock_.Monotonic());
-    router_.OnClaim(claim);
+    router_.OnClaim(claim, clock_.Monotonic());
   }
   // The owner that got the last message refuses the job.
-  void ReceiveRefusal() {
+  void ReceiveRefusal(const std::vector<PoolRoom>& room = {}) {
     const auto& request =
         std::get<PoolJobRequest>(transport_.sent.back().second);
     PoolJobReply reply;
@@ -60,6 +63,8 @@
     reply.status = static_cast<uint32_t>(JobStatus::kNotRun);
     reply.error = static_cast<uint32_t>(ErrorCode::kOverloaded);
     reply.detail = "the promise cannot be kept";
+    reply.retry_after_ms = 100;
+    reply.room = room;
     router_.OnReply(reply);
   }
   void Submit() {
@@ -93,6 +98,7 @@
                         const std::shared_ptr<const VersionedDocument>&,
                         const PoolRouter::AnswerCallback&) {},
                      [](const std::string&) {},
+                     random_,
                      metrics_,
                      timeline_,
                      log_};
@@ -221,5 +227,64 @@
   EXPECT_TRUE(transport_.sent.empty());
 }
 
+// Guards against chains of refusals by pools that have no room either, which
+// callers wait for.
+TEST_F(PoolRouterTest, OnReply_RefusedAndFitsNowhere_IsRefusedAtOnce) {
+  ReceiveClaim("d1", {{1, 1, 0}});
+  ReceiveClaim("d2", {{1, 0, 5000}});
+  Submit();
+  ReceiveRefusal({{1, 0, 5000}});
+  EXPECT_EQ(transport_.sent.size(), 1u);
+  ASSERT_TRUE(last_.has_value());
+  EXPECT_EQ(last_->status, JobStatus::kNotRun);
+  EXPECT_EQ(
+      metrics_.counter("radishrail_pool_jobs_fit_nowhere_total", "").value(),
+      1u);
+}
+
+// Guards against a job that is refused with room in another pool.
+TEST_F(PoolRouterTest, OnReply_RefusedAndFitsElsewhere_IsOfferedForTheRest) {
+  ReceiveClaim("d1", {{1, 1, 0}});
+  ReceiveClaim("d2", {{1, 1, 0}});
+  Submit();
+  const auto first = std::get<PoolJobRequest>(transport_.sent.back().second);
+  clock_.Advance(kDeadline / 4);
+  ReceiveClaim("d2", {{1, 1, 0}});
+  ReceiveRefusal({{1, 0, 5000}});
+  ASSERT_EQ(transport_.sent.size(), 2u);
+  const auto second = std::get<PoolJobRequest>(transport_.sent.back().second);
+  EXPECT_EQ(second.pool, "d2");
+  // An owner that took the whole promise for the rest would let the job wait
+  // until it is late.
+  EXPECT_LE(second.promised_ms, first.promised_ms * 3 / 4);
+}
+
+// Guards against a route that promises no time, whose jobs would count as late
+// from the start and be offered to one pool only.
+TEST_F(PoolRouterTest, OnReply_RefusedAndNothingIsPromised_IsOfferedAgain) {
+  route_.base = absl::ZeroDuration();
+  ReceiveClaim("d1", {{1, 1, 0}});
+  ReceiveClaim("d2", {{1, 1, 0}});
+  Submit();
+  ReceiveRefusal({{1, 0, 5000}});
+  ASSERT_EQ(transport_.sent.size(), 2u);
+  EXPECT_EQ(std::get<PoolJobRequest>(transport_.sent.back().second).promised_ms,
+            0u);
+}
+
+// Guards against callers that return together a second after their refusal.
+TEST_F(PoolRouterTest, Answer_ManyAreRefused_ReturnsAreSpread) {
+  std::set<int64_t> delays;
+  for (int i = 0; i < 50; ++i) {
+    ReceiveClaim("d1", {{1, 1, 0}});
+    Submit();
+    ReceiveRefusal({{1, 0, 5000}});
+    ASSERT_TRUE(last_.has_value());
+    EXPECT_EQ(last_->retry_after % absl::Seconds(1), absl::ZeroDuration());
+    delays.insert(absl::ToInt64Seconds(last_->retry_after));
+  }
+  EXPECT_GT(delays.size(), 3u);
+}
+
 }  // namespace
 }  // namespace radishrail
