Place tasks near their data where the wait pays

Cause: a step's rack was dropped without a word, so its tasks ran remote_run_factor times as long on any other rack; whether a wait for room on the rack pays depends on what runs there and on what the job can still spend. Change: RackPolicy decides for each task, RackRoom estimates the wait, the scheduler keeps the tasks that wait and decides again every 10 ms; counters, and the reason in the job's history. Off unless the settings name a factor above 1.

--- a/include/radishrail/policy_scheduler.h
+++ b/include/radishrail/policy_scheduler.h
@@ -9,6 +9,7 @@
 
 #include "absl/time/time.h"
 #include "radishrail/clock.h"
+#include "radishrail/rack_policy.h"
 #include "radishrail/scheduler.h"
 
 namespace radishrail {
@@ -61,6 +62,11 @@
   // `UpstreamCapacity::slots` is no substitute: it counts only the slots that
   // this daemon may use at the moment.
   int largest_upstream_slots = 8;
+  // Decides whether tasks wait for room on their preferred rack; null: racks
+  // are ignored.
+  std::shared_ptr<const RackPolicy> rack_policy;
+  // Run time of a task off its preferred rack as a multiple of that on it.
+  double remote_run_factor = 1;
   // Bounds memory: kinds beyond this number share one estimate.
   size_t max_kinds = 16384;
 };
--- a/include/radishrail/scheduler.h
+++ b/include/radishrail/scheduler.h
@@ -8,6 +8,7 @@
 
 #include "absl/time/time.h"
 #include "radishrail/error.h"
+#include "radishrail/rack_policy.h"
 
 namespace radishrail {
 
@@ -26,10 +27,8 @@
   std::string kind;
   absl::Duration declared_run = absl::ZeroDuration();
   int slots = 1;
-  // Rack on which the task runs fastest; empty: none. Elsewhere it takes
-  // `remote_factor` times as long.
+  // Rack on which the task runs fastest; empty: none.
   std::string preferred_rack = {};
-  double remote_factor = 1;
 };
 
 // The properties of a job that matter for scheduling.
@@ -64,6 +63,11 @@
 struct Placement {
   TaskRef task;
   UpstreamId upstream = 0;
+  RackOutcome rack = RackOutcome::kNoPreference;
+  absl::Duration rack_wait = absl::ZeroDuration();
+  // The run is expected to take this many times as long as on the preferred
+  // rack.
+  double run_factor = 1;
 };
 
 struct Refusal {
--- a/include/radishrail/settings.h
+++ b/include/radishrail/settings.h
@@ -56,6 +56,10 @@
   size_t max_body_bytes = 4 * 1024 * 1024;
   int max_connections = 4096;
   absl::Duration idle_timeout = absl::Seconds(10);
+
+  // [scheduling]
+  // Run time of a task off its preferred rack, in thousandths of that on it.
+  uint32_t remote_run_thousandths = 1000;
 };
 
 // The address at which peers connect to the daemon.
--- a/src/job_controller.cc
+++ b/src/job_controller.cc
@@ -421,7 +421,31 @@
                  {ErrorCode::kDeadlineExceeded, Step::kQueue, "", ""});
       return;
     }
-    Dispatch(*job, ref.task, *upstream, wall, now);
+    job->tasks[ref.task].run_factor = placement.run_factor;
+    Dispatch(*job, ref.task, *upstream, RecordRackOutcome(placement), wall,
+             now);
+  }
+
+  // Returns the reason of the placement for the job's history.
+  std::string RecordRackOutcome(const Placement& placement) {
+    switch (placement.rack) {
+      case RackOutcome::kNoPreference:
+        return {};
+      case RackOutcome::kNear:
+        metrics_.rack_near.Add();
+        break;
+      case RackOutcome::kFarByChoice:
+        metrics_.rack_far_by_choice.Add();
+        break;
+      case RackOutcome::kFarNoRoom:
+        metrics_.rack_far_no_room.Add();
+        break;
+    }
+    metrics_.rack_wait.Record(placement.rack_wait);
+    const std::string_view outcome = RackOutcomeName(placement.rack);
+    return absl::StrCat(absl::string_view(outcome.data(), outcome.size()),
+                        ", waited ",
+                        absl::ToInt64Milliseconds(placement.rack_wait), " ms");
   }
 
   bool CanStart(const Job& job, const UpstreamView& upstream) const {
@@ -432,6 +456,7 @@
   void Dispatch(Job& job,
                 uint32_t index,
                 const UpstreamView& upstream,
+                const std::string& reason,
                 absl::Time wall,
                 absl::Time now) {
     Task& task = job.tasks[index];
@@ -452,7 +477,7 @@
     }
     metrics_.handed_over.Add();
     RecordEvent(EventType::kTaskHandedOver, job.spec.key, spec.id,
-                upstream.info.vm, "", job.document->version);
+                upstream.info.vm, reason, job.document->version);
     TaskStart start;
     start.job_key = job.spec.key;
     start.task_id = spec.id;
@@ -465,7 +490,7 @@
     start.start_by_wall = wall + (job.start_by - now);
     start.timeout = job.start_by - now;
     start.lease = job.spec.lease;
-    start.expected_run = run_times_.Expected(task.kind);
+    start.expected_run = run_times_.Expected(task.kind) * task.run_factor;
     if (start.expected_run == absl::ZeroDuration()) {
       start.expected_run = spec.declared_run;
     }
@@ -497,7 +522,10 @@
     if (result.run_time <= absl::ZeroDuration()) {
       result.run_time = clock_.Monotonic() - task.started;
     }
-    upstreams_.OnResult(upstream, result, run_times_.Expected(task.kind));
+    // Away from the preferred rack, the upstream is not to blame for a longer
+    // run.
+    upstreams_.OnResult(upstream, result,
+                        run_times_.Expected(task.kind) * task.run_factor);
     switch (result.outcome) {
       case TaskOutcome::kDone:
         OnDone(*job, ref, std::move(result));
@@ -558,7 +586,7 @@
   void OnDone(Job& job, TaskRef ref, TaskResult result) {
     Task& task = job.tasks[ref.task];
     metrics_.run_time.Record(result.run_time);
-    run_times_.Learn(task.kind, result.run_time, task.speed);
+    run_times_.Learn(task.kind, result.run_time / task.run_factor, task.speed);
     scheduler_.Finish(ref, result.run_time);
     task.output = std::move(result.output);
     FinishTask(job, ref.task, TaskStatus::kDone, {});
--- a/src/job_metrics.h
+++ b/src/job_metrics.h
@@ -47,7 +47,18 @@
             metrics.histogram("radishrail_task_queued_seconds",
                               "Acceptance of the job to first hand-over")),
         run_time(metrics.histogram("radishrail_task_run_seconds",
-                                   "Run time of completed tasks")) {}
+                                   "Run time of completed tasks")),
+        rack_near(metrics.counter("radishrail_tasks_on_preferred_rack_total",
+                                  "Tasks placed on their preferred rack")),
+        rack_far_by_choice(
+            metrics.counter("radishrail_tasks_off_rack_by_choice_total",
+                            "Tasks for which the wait for their preferred rack "
+                            "did not pay")),
+        rack_far_no_room(metrics.counter(
+            "radishrail_tasks_off_rack_no_room_total",
+            "Tasks whose preferred rack has no upstream that can run them")),
+        rack_wait(metrics.histogram("radishrail_task_rack_wait_seconds",
+                                    "Wait for room on the preferred rack")) {}
   Counter& accepted;
   Counter& refused;
   Counter& joined;
@@ -67,6 +78,10 @@
   Histogram& response_time;
   Histogram& queue_time;
   Histogram& run_time;
+  Counter& rack_near;
+  Counter& rack_far_by_choice;
+  Counter& rack_far_no_room;
+  Histogram& rack_wait;
 };
 
 }  // namespace radishrail::internal
--- a/src/job_record.h
+++ b/src/job_record.h
@@ -24,7 +24,8 @@
   bool stopping = false;  // the stop of the run was requested
   UpstreamId upstream = 0;
   uint32_t kind = 0;
-  double speed = 1;  // of the upstream at dispatch
+  double speed = 1;       // of the upstream at dispatch
+  double run_factor = 1;  // see `Placement::run_factor`
   absl::Time started;
   std::string output;
   Error error;
--- a/src/policy_scheduler.cc
+++ b/src/policy_scheduler.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <deque>
 #include <functional>
 #include <limits>
 #include <string>
@@ -22,6 +23,7 @@
 
 using internal::KindId;
 using internal::PoolId;
+using internal::RackId;
 using JobIndex = uint32_t;
 using TeamId = uint32_t;
 using LaneId = uint32_t;
@@ -31,6 +33,9 @@
 constexpr size_t kMaxExcessStaleEntries = 64;
 // Delay of a task while the only upstream with free slots is the one to avoid.
 constexpr double kAvoidDelaySeconds = 0.005;
+// Interval at which tasks that wait for a rack decide again; less than the
+// shortest tasks take.
+constexpr double kRackReviewSeconds = 0.01;
 // Time constant with which the peak capacity decays.
 constexpr double kPeakDecaySeconds = 30;
 constexpr uint32_t kNoTicket = 0;
@@ -62,10 +67,15 @@
 struct Task {
   KindId kind = 0;
   UpstreamId upstream = 0;  // running: its upstream; queued: the one to avoid
-  float expected_s = 0;
+  float expected_s = 0;     // on the preferred rack, if there is one
+  float run_factor = 1;     // of the present run
   uint16_t slots = 1;
   TaskState state = TaskState::kQueued;
   bool avoids_upstream = false;  // `upstream` is to be avoided
+  RackId preferred_rack = internal::kNoRack;
+  RackId rack = internal::kNoRack;  // of the present run
+  double expected_end_s = 0;        // of the present run
+  double rack_wait_since_s = -1;    // negative: it has not waited
 
   double work_s() const { return static_cast<double>(expected_s) * slots; }
 };
@@ -107,6 +117,20 @@
   bool operator>(const HeapEntry& other) const { return key > other.key; }
 };
 
+// A task that waits for room on its preferred rack.
+struct RackWaiter {
+  JobIndex job = 0;
+  uint32_t generation = 0;
+  uint32_t task = 0;
+  PoolId pool = 0;
+  int slots = 0;
+};
+
+struct RackQueue {
+  std::deque<RackWaiter> waiters;  // in the order of their decision
+  int slots = 0;                   // of all waiters
+};
+
 struct DelayedTask {
   double due_s = 0;
   JobIndex job = 0;
@@ -176,7 +200,9 @@
   void Finish(TaskRef ref, std::optional<absl::Duration> run_time);
   void Remove(uint64_t id);
   std::vector<uint64_t> TakeHopeless();
-  void SetUpstream(const UpstreamCapacity& capacity) { pools_.Set(capacity); }
+  void SetUpstream(const UpstreamCapacity& capacity) {
+    pools_.Set(capacity, rack_room_.FindOrAdd(capacity.rack));
+  }
   void RemoveUpstream(UpstreamId upstream) { pools_.Remove(upstream); }
   SchedulerLoad load() const {
     SchedulerLoad load;
@@ -241,6 +267,17 @@
   std::optional<Candidate> Select(double now);
   std::optional<Candidate> SelectInLane(LaneId lane);
   std::optional<Placement> TryPlace(const Candidate& candidate, double now);
+  RackChoice ChooseRack(const Job& job,
+                        const Task& task,
+                        PoolId pool,
+                        double now) const;
+  double WaitForRack(const Task& task, PoolId pool, double now) const;
+  void AddRackWaiter(JobIndex index, uint32_t task, PoolId pool, double now);
+  std::optional<Placement> PlaceRackWaiter(double now);
+  void ReviewRackWaiters(double now);
+  bool IsWaiting(const RackWaiter& waiter) const;
+  void DropFirstRackWaiter(RackQueue* queue);
+  Placement MakePlacement(Job* job, uint32_t task, PoolId pool, double now);
   bool CannotMeetPromise(const Job& job, double now) const;
   void MarkHopeless(JobIndex index);
   bool MoveIfReclassified(JobIndex index, JobLane* job_lane, double now);
@@ -275,6 +312,10 @@
   const double fair_share_backlog_s_;
   internal::RunTimeTable kinds_;
   internal::UpstreamPools pools_;
+  internal::RackRoom rack_room_;
+  std::vector<RackQueue> rack_queues_;  // by rack
+  size_t rack_waiters_ = 0;
+  double next_rack_review_s_ = 0;
 
   std::vector<Job> jobs_;
   std::vector<JobIndex> free_jobs_;
@@ -474,6 +515,7 @@
         task.kind, absl::ToDoubleSeconds(spec.declared_run), now);
     task.expected_s = static_cast<float>(expected);
     task.slots = static_cast<uint16_t>(spec.slots);
+    task.preferred_rack = rack_room_.Find(spec.preferred_rack);
     if (pool_slots != spec.slots) {
       pool = pools_.FindPool(demand.upstream_classes, spec.slots);
       pool_slots = spec.slots;
@@ -639,6 +681,9 @@
   const double now = Now();
   UpdatePeakCapacity(now);
   ReleaseDelayed(now);
+  if (auto placement = PlaceRackWaiter(now)) {
+    return placement;
+  }
   while (const auto candidate = Select(now)) {
     if (auto placement = TryPlace(*candidate, now)) {
       return placement;
@@ -811,11 +856,21 @@
   const uint32_t number = job_lane->tasks.back();
   const Task& task = job.tasks[number];
   const PoolId pool = lanes_[candidate.lane].pool;
+  const RackChoice choice = ChooseRack(job, task, pool, now);
+  if (choice == RackChoice::kWait) {
+    job_lane->tasks.pop_back();
+    AddRackWaiter(index, number, pool, now);
+    UpdateHeapsAfterPop(index, candidate.lane);
+    return std::nullopt;
+  }
   std::optional<UpstreamId> avoid;
   if (task.avoids_upstream && pools_.HasOther(pool, task.upstream)) {
     avoid = task.upstream;
   }
-  const auto upstream = pools_.Choose(pool, job.domains, avoid);
+  const auto upstream =
+      choice == RackChoice::kNear
+          ? pools_.ChooseOnRack(pool, task.preferred_rack, avoid)
+          : pools_.Choose(pool, job.domains, avoid);
   job_lane->tasks.pop_back();
   if (!upstream) {
     Delay(index, number, now + kAvoidDelaySeconds);
@@ -824,7 +879,152 @@
   }
   Place(index, number, *upstream, now);
   UpdateHeapsAfterPop(index, candidate.lane);
-  return Placement{{job.id, number}, *upstream};
+  return MakePlacement(&job, number, pool, now);
+}
+
+// --- Racks ---
+
+// Tasks without a preference are placed as if their rack were far.
+RackChoice PolicyScheduler::Impl::ChooseRack(const Job& job,
+                                             const Task& task,
+                                             PoolId pool,
+                                             double now) const {
+  if (task.preferred_rack == internal::kNoRack ||
+      settings_.rack_policy == nullptr) {
+    return RackChoice::kFar;
+  }
+  const double speed = pools_.top_speed();
+  RackOptions options;
+  options.near_wait_s = WaitForRack(task, pool, now);
+  options.near_run_s = task.expected_s / speed;
+  options.far_run_s = options.near_run_s * settings_.remote_run_factor;
+  options.far_has_room = pools_.HasFree(pool);
+  options.time_left_s = job.promise_by_s - now;
+  options.waited_s =
+      task.rack_wait_since_s < 0 ? 0 : now - task.rack_wait_since_s;
+  options.others_wait = queued_ > job.queued + rack_waiters_;
+  return settings_.rack_policy->Choose(options);
+}
+
+// Tasks that decided earlier to wait for the rack go first.
+double PolicyScheduler::Impl::WaitForRack(const Task& task,
+                                          PoolId pool,
+                                          double now) const {
+  const RackId rack = task.preferred_rack;
+  if (!pools_.IsRackCapable(pool, rack)) {
+    return std::numeric_limits<double>::infinity();
+  }
+  const int slots_ahead =
+      rack < rack_queues_.size() ? rack_queues_[rack].slots : 0;
+  if (slots_ahead == 0 && pools_.ChooseOnRack(pool, rack, std::nullopt)) {
+    return 0;
+  }
+  return rack_room_.WaitForSlots(rack, slots_ahead + task.slots, now);
+}
+
+bool PolicyScheduler::Impl::IsWaiting(const RackWaiter& waiter) const {
+  const Job& job = jobs_[waiter.job];
+  return job.live && job.generation == waiter.generation && !job.removed &&
+         !job.hopeless && job.tasks[waiter.task].state == TaskState::kDelayed;
+}
+
+void PolicyScheduler::Impl::AddRackWaiter(JobIndex index,
+                                          uint32_t number,
+                                          PoolId pool,
+                                          double now) {
+  Job& job = jobs_[index];
+  Task& task = job.tasks[number];
+  task.state = TaskState::kDelayed;
+  if (task.rack_wait_since_s < 0) {
+    task.rack_wait_since_s = now;
+  }
+  if (task.preferred_rack >= rack_queues_.size()) {
+    rack_queues_.resize(task.preferred_rack + 1);
+  }
+  RackQueue& queue = rack_queues_[task.preferred_rack];
+  queue.waiters.push_back({index, job.generation, number, pool, task.slots});
+  queue.slots += task.slots;
+  ++rack_waiters_;
+}
+
+void PolicyScheduler::Impl::DropFirstRackWaiter(RackQueue* queue) {
+  queue->slots -= queue->waiters.front().slots;
+  queue->waiters.pop_front();
+  --rack_waiters_;
+}
+
+// Room on a rack goes to the tasks that wait for it before all others.
+std::optional<Placement> PolicyScheduler::Impl::PlaceRackWaiter(double now) {
+  if (rack_waiters_ == 0) {
+    return std::nullopt;
+  }
+  if (next_rack_review_s_ <= now) {
+    next_rack_review_s_ = now + kRackReviewSeconds;
+    ReviewRackWaiters(now);
+  }
+  for (RackId rack = 0; rack < rack_queues_.size(); ++rack) {
+    RackQueue& queue = rack_queues_[rack];
+    while (!queue.waiters.empty() && !IsWaiting(queue.waiters.front())) {
+      DropFirstRackWaiter(&queue);
+    }
+    if (queue.waiters.empty()) {
+      continue;
+    }
+    const RackWaiter waiter = queue.waiters.front();
+    Job& job = jobs_[waiter.job];
+    const auto upstream = pools_.ChooseOnRack(waiter.pool, rack, std::nullopt);
+    if (upstream.has_value() && now <= job.start_by_s) {
+      DropFirstRackWaiter(&queue);
+      Place(waiter.job, waiter.task, *upstream, now);
+      return MakePlacement(&job, waiter.task, waiter.pool, now);
+    }
+  }
+  return std::nullopt;
+}
+
+// Decides again, since estimates change and racks are lost.
+void PolicyScheduler::Impl::ReviewRackWaiters(double now) {
+  for (auto& queue : rack_queues_) {
+    const RackQueue reviewed = std::exchange(queue, {});
+    rack_waiters_ -= reviewed.waiters.size();
+    for (const auto& it : reviewed.waiters) {
+      if (!IsWaiting(it)) {
+        continue;
+      }
+      Task& task = jobs_[it.job].tasks[it.task];
+      if (ChooseRack(jobs_[it.job], task, it.pool, now) == RackChoice::kFar) {
+        task.state = TaskState::kQueued;
+        Enqueue(it.job, it.task, IsLong(task, now));
+      } else {
+        AddRackWaiter(it.job, it.task, it.pool, now);
+      }
+    }
+  }
+}
+
+Placement PolicyScheduler::Impl::MakePlacement(Job* job,
+                                               uint32_t number,
+                                               PoolId pool,
+                                               double now) {
+  Task& task = job->tasks[number];
+  Placement placement{{job->id, number}, task.upstream};
+  if (task.preferred_rack == internal::kNoRack ||
+      settings_.rack_policy == nullptr) {
+    return placement;
+  }
+  placement.run_factor = task.run_factor;
+  if (task.rack == task.preferred_rack) {
+    placement.rack = RackOutcome::kNear;
+  } else {
+    placement.rack = pools_.IsRackCapable(pool, task.preferred_rack)
+                         ? RackOutcome::kFarByChoice
+                         : RackOutcome::kFarNoRoom;
+  }
+  if (task.rack_wait_since_s >= 0) {
+    placement.rack_wait = absl::Seconds(now - task.rack_wait_since_s);
+    task.rack_wait_since_s = -1;
+  }
+  return placement;
 }
 
 // The last task of a job starts only after the others have been placed. A job
@@ -896,6 +1096,15 @@
   task.state = TaskState::kRunning;
   task.upstream = upstream;
   task.avoids_upstream = false;
+  task.rack = pools_.rack(upstream);
+  const bool is_remote = settings_.rack_policy != nullptr &&
+                         task.preferred_rack != internal::kNoRack &&
+                         task.rack != task.preferred_rack;
+  task.run_factor =
+      is_remote ? static_cast<float>(settings_.remote_run_factor) : 1;
+  task.expected_end_s =
+      now + task.expected_s * task.run_factor / pools_.speed(upstream);
+  rack_room_.OnPlaced(task.rack, task.slots, task.expected_end_s);
   pools_.Occupy(upstream, task.slots);
   kinds_.OnPlaced(task.kind, task.slots, now);
   if (pools_.reserved() && task.slots > 1) {
@@ -977,6 +1186,7 @@
   --team.running;
   team.running_slots -= task->slots;
   pools_.Occupy(task->upstream, -task->slots);
+  rack_room_.OnEnded(task->rack, task->slots, task->expected_end_s);
   RefreshAllLanes(job->team);
   kinds_.OnEnded(task->kind, task->slots, run_s);
 }
@@ -1025,9 +1235,10 @@
     return;
   }
   Task& task = job.tasks[ref.task];
-  const double run_s =
-      run_time ? absl::ToDoubleSeconds(*run_time) * pools_.speed(task.upstream)
-               : -1;
+  const double run_s = run_time
+                           ? absl::ToDoubleSeconds(*run_time) *
+                                 pools_.speed(task.upstream) / task.run_factor
+                           : -1;
   ReleaseSlots(&job, &task, run_s);
   task.state = TaskState::kEnded;
   kinds_.Release(task.kind, last_now_s_);
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -130,6 +130,10 @@
         "callers' connections open at once"},
     Key{"requests", "idle_timeout", Type::kDuration, &Settings::idle_timeout,
         1000, 600000, false, "time after which an idle connection is closed"},
+    Key{"scheduling", "remote_run_factor", Type::kThousandths,
+        &Settings::remote_run_thousandths, 1000, 100000, false,
+        "run time of a task off the rack of its data, as a multiple of that on "
+        "it, with `--platform`; 1: racks are ignored"},
 };
 
 bool IsName(std::string_view text) {
--- a/src/upstream_pools.cc
+++ b/src/upstream_pools.cc
@@ -7,7 +7,7 @@
 UpstreamPools::UpstreamPools(SpillPolicy spill, double home_preference)
     : spill_(spill), home_preference_(home_preference) {}
 
-void UpstreamPools::Set(const UpstreamCapacity& capacity) {
+void UpstreamPools::Set(const UpstreamCapacity& capacity, RackId rack) {
   if (capacity.upstream >= upstreams_.size()) {
     upstreams_.resize(capacity.upstream + 1);
   }
@@ -27,6 +27,7 @@
     upstream.pools.clear();
   }
   upstream.registered = true;
+  SetRack(capacity.upstream, rack);
   upstream.accepting = capacity.accepting;
   upstream.home = capacity.same_failure_domain;
   upstream.domain = domain;
@@ -123,6 +124,56 @@
   return best;
 }
 
+std::optional<UpstreamId> UpstreamPools::ChooseOnRack(
+    PoolId pool,
+    RackId rack,
+    std::optional<UpstreamId> avoid) const {
+  std::optional<UpstreamId> best;
+  if (rack == kNoRack || rack >= racks_.size()) {
+    return best;
+  }
+  for (const UpstreamId id : racks_[rack]) {
+    for (const auto& it : upstreams_[id].pools) {
+      if (it.pool == pool && id != avoid &&
+          LeafValue(pool, id) != TournamentTree::kNone &&
+          (!best || upstreams_[id].speed > upstreams_[*best].speed)) {
+        best = id;
+      }
+    }
+  }
+  return best;
+}
+
+bool UpstreamPools::IsRackCapable(PoolId pool, RackId rack) const {
+  if (rack == kNoRack || rack >= racks_.size()) {
+    return false;
+  }
+  return std::any_of(
+      racks_[rack].begin(), racks_[rack].end(), [&](UpstreamId id) {
+        const auto& pools = upstreams_[id].pools;
+        return std::any_of(pools.begin(), pools.end(), [pool](const auto& it) {
+          return it.pool == pool && it.capable;
+        });
+      });
+}
+
+void UpstreamPools::SetRack(UpstreamId id, RackId rack) {
+  Upstream& upstream = upstreams_[id];
+  if (upstream.rack == rack) {
+    return;
+  }
+  if (upstream.rack != kNoRack) {
+    std::erase(racks_[upstream.rack], id);
+  }
+  upstream.rack = rack;
+  if (rack != kNoRack) {
+    if (rack >= racks_.size()) {
+      racks_.resize(rack + 1);
+    }
+    racks_[rack].push_back(id);
+  }
+}
+
 // A higher rank always wins: speeds and numbers of upstreams are far below
 // `kRank`.
 double UpstreamPools::Score(const DomainTree& domain,
--- a/src/upstream_pools.h
+++ b/src/upstream_pools.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "rack_room.h"
 #include "radishrail/policy_scheduler.h"
 #include "radishrail/scheduler.h"
 #include "tournament_tree.h"
@@ -21,7 +22,8 @@
  public:
   UpstreamPools(SpillPolicy spill, double home_preference);
 
-  void Set(const UpstreamCapacity& capacity);
+  // `rack` is `kNoRack` if the rack of the upstream is unknown.
+  void Set(const UpstreamCapacity& capacity, RackId rack = kNoRack);
   void Remove(UpstreamId upstream);
   // Occupies slots, or frees them if `slots` is negative. Slots of a removed
   // upstream may stay occupied.
@@ -36,6 +38,14 @@
   std::optional<UpstreamId> Choose(PoolId pool,
                                    uint64_t used_domains,
                                    std::optional<UpstreamId> avoid);
+  // The fastest upstream of the rack with room, other than `avoid`. Linear in
+  // the number of its upstreams.
+  std::optional<UpstreamId> ChooseOnRack(PoolId pool,
+                                         RackId rack,
+                                         std::optional<UpstreamId> avoid) const;
+  // True if an upstream of the rack has enough slots for the pool, free or not.
+  bool IsRackCapable(PoolId pool, RackId rack) const;
+  RackId rack(UpstreamId upstream) const { return upstreams_[upstream].rack; }
   // True if an upstream other than `avoid` has enough slots for the pool, free
   // or not.
   bool HasOther(PoolId pool, UpstreamId avoid) const;
@@ -73,6 +83,7 @@
     int slots = 0;
     int occupied = 0;
     double speed = 1;
+    RackId rack = kNoRack;
     std::string upstream_class;
     std::vector<Membership> pools;
   };
@@ -101,10 +112,13 @@
                double speed,
                uint64_t used_domains) const;
 
+  void SetRack(UpstreamId upstream, RackId rack);
+
   const SpillPolicy spill_;
   const double home_preference_;
   std::vector<Upstream> upstreams_;
   std::vector<Pool> pools_;
+  std::vector<std::vector<UpstreamId>> racks_;  // by rack
   std::vector<std::string> domains_;
   std::vector<std::string> seen_classes_;
   struct Reservation {
--- a/tests/policy_scheduler_test.cc
+++ b/tests/policy_scheduler_test.cc
@@ -1,6 +1,7 @@
 #include "radishrail/policy_scheduler.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -622,5 +623,139 @@
                          PolicySchedulerConsistencyTest,
                          ::testing::Range<uint64_t>(1, 21));
 
+class PolicySchedulerRackTest : public PolicySchedulerTest {
+ protected:
+  PolicySchedulerRackTest() {
+    settings_.rack_policy = std::make_shared<AdaptiveRackPolicy>();
+    settings_.remote_run_factor = 2;
+    Restart();
+    AddUpstreamOnRack(0, "near");
+    AddUpstreamOnRack(1, "far");
+  }
+
+  void AddUpstreamOnRack(UpstreamId id, const std::string& rack) {
+    UpstreamCapacity capacity;
+    capacity.upstream = id;
+    capacity.upstream_class = "runner";
+    capacity.failure_domain = "fd-0";
+    capacity.slots = 1;
+    capacity.rack = rack;
+    scheduler_->SetUpstream(capacity);
+  }
+
+  JobDemand MakeRackJob(uint64_t id, double run_s, const std::string& rack) {
+    JobDemand demand = MakeJob(id, 1, run_s, absl::StrCat("run-", run_s));
+    demand.tasks[0].preferred_rack = rack;
+    return demand;
+  }
+
+  // Occupies the upstream of the rack "near" for `run_s`.
+  Placement OccupyNear(double run_s) {
+    EXPECT_FALSE(scheduler_->Admit(MakeRackJob(100, run_s, "near")));
+    const auto placement = scheduler_->Next();
+    EXPECT_EQ(placement->upstream, 0u);
+    EXPECT_EQ(placement->rack, RackOutcome::kNear);
+    return *placement;
+  }
+};
+
+// Guards against a longer run elsewhere although the rack has room soon.
+TEST_F(PolicySchedulerRackTest, Next_RackHasRoomSoon_TaskWaitsForIt) {
+  const Placement first = OccupyNear(0.05);
+  ASSERT_FALSE(scheduler_->Admit(MakeRackJob(1, 0.2, "near")));
+  EXPECT_FALSE(scheduler_->Next());
+  clock_.Advance(absl::Milliseconds(50));
+  scheduler_->Finish(first.task, absl::Milliseconds(50));
+  const auto placement = scheduler_->Next();
+  ASSERT_TRUE(placement);
+  EXPECT_EQ(placement->upstream, 0u);
+  EXPECT_EQ(placement->rack, RackOutcome::kNear);
+  EXPECT_EQ(placement->rack_wait, absl::Milliseconds(50));
+  EXPECT_EQ(placement->run_factor, 1);
+}
+
+// Guards against a wait that costs more than the longer run elsewhere.
+TEST_F(PolicySchedulerRackTest, Next_RackIsBusyForLong_TaskRunsElsewhere) {
+  OccupyNear(5);
+  ASSERT_FALSE(scheduler_->Admit(MakeRackJob(1, 0.2, "near")));
+  const auto placement = scheduler_->Next();
+  ASSERT_TRUE(placement);
+  EXPECT_EQ(placement->upstream, 1u);
+  EXPECT_EQ(placement->rack, RackOutcome::kFarByChoice);
+  EXPECT_EQ(placement->run_factor, 2);
+}
+
+// Guards against tasks that wait for a rack that has failed.
+TEST_F(PolicySchedulerRackTest,
+       Next_RackIsLostWhileTaskWaits_TaskRunsElsewhere) {
+  OccupyNear(0.05);
+  ASSERT_FALSE(scheduler_->Admit(MakeRackJob(1, 0.2, "near")));
+  EXPECT_FALSE(scheduler_->Next());
+  scheduler_->RemoveUpstream(0);
+  clock_.Advance(absl::Milliseconds(10));
+  const auto placement = scheduler_->Next();
+  ASSERT_TRUE(placement);
+  EXPECT_EQ(placement->upstream, 1u);
+  EXPECT_EQ(placement->rack, RackOutcome::kFarNoRoom);
+}
+
+// Guards against a task that waits for a run that takes far longer than
+// expected.
+TEST_F(PolicySchedulerRackTest, Next_RunningTaskIsOverdue_TaskRunsElsewhere) {
+  OccupyNear(0.05);
+  ASSERT_FALSE(scheduler_->Admit(MakeRackJob(1, 0.2, "near")));
+  EXPECT_FALSE(scheduler_->Next());
+  std::optional<Placement> placement;
+  for (int i = 0; i < 60 && !placement; ++i) {
+    clock_.Advance(absl::Milliseconds(10));
+    placement = scheduler_->Next();
+  }
+  ASSERT_TRUE(placement);
+  EXPECT_EQ(placement->upstream, 1u);
+}
+
+// Guards against a job that waits for a rack that no upstream reports: callers
+// may name any.
+TEST_F(PolicySchedulerRackTest, Next_RackIsUnknown_TaskIsPlacedAtOnce) {
+  ASSERT_FALSE(scheduler_->Admit(MakeRackJob(1, 0.2, "no such rack")));
+  const auto placement = scheduler_->Next();
+  ASSERT_TRUE(placement);
+  EXPECT_EQ(placement->rack, RackOutcome::kNoPreference);
+}
+
+// Guards against tasks of a wanted rack that keep others from their room.
+TEST_F(PolicySchedulerRackTest, Next_TasksWaitForRack_OthersRunElsewhere) {
+  OccupyNear(0.05);
+  ASSERT_FALSE(scheduler_->Admit(MakeRackJob(1, 0.2, "near")));
+  EXPECT_FALSE(scheduler_->Next());
+  ASSERT_FALSE(scheduler_->Admit(MakeJob(2, 1)));
+  const auto placement = scheduler_->Next();
+  ASSERT_TRUE(placement);
+  EXPECT_EQ(placement->task.job, 2u);
+  EXPECT_EQ(placement->upstream, 1u);
+}
+
+// Guards against a removed job whose waiting task is placed later.
+TEST_F(PolicySchedulerRackTest, Remove_TaskWaitsForRack_IsNotPlaced) {
+  const Placement first = OccupyNear(0.05);
+  ASSERT_FALSE(scheduler_->Admit(MakeRackJob(1, 0.2, "near")));
+  EXPECT_FALSE(scheduler_->Next());
+  scheduler_->Remove(1);
+  scheduler_->Finish(first.task, absl::Milliseconds(50));
+  EXPECT_FALSE(scheduler_->Next());
+  EXPECT_EQ(scheduler_->queued_tasks(), 0u);
+}
+
+// Guards against a change for deployments whose settings name no factor.
+TEST_F(PolicySchedulerRackTest, Next_NoRackPolicy_RackIsIgnored) {
+  settings_.rack_policy = nullptr;
+  Restart();
+  AddUpstreamOnRack(0, "near");
+  AddUpstreamOnRack(1, "far");
+  ASSERT_FALSE(scheduler_->Admit(MakeRackJob(1, 0.2, "far")));
+  ASSERT_FALSE(scheduler_->Admit(MakeRackJob(2, 0.2, "far")));
+  EXPECT_EQ(PlaceAll().size(), 2u);
+}
+
 }  // namespace
 }  // namespace radishrail
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -105,6 +105,14 @@
   EXPECT_FALSE(DecodeJob(Job(R"("count":100000)"), &error_).has_value());
 }
 
+// Guards against dropping where the data of a step lies.
+TEST_F(WireTest, DecodeJob_StepHasAffinity_TasksPreferTheRack) {
+  const auto job =
+      DecodeJob(Job(R"("count":2,"cpu":500,"affinity":"r1-3")"), &error_);
+  ASSERT_TRUE(job.has_value()) << error_.ToString();
+  EXPECT_EQ(job->tasks[1].preferred_rack, "r1-3");
+}
+
 TEST_F(WireTest, DecodeRunnerEntry_Valid_ReturnsAllFields) {
   const auto vm = DecodeRunnerEntry("i-1", Entry("ready"), &error_);
   ASSERT_TRUE(vm.has_value()) << error_.ToString();
