--- a/include/radishrail/settings.h
+++ b/include/radishrail/settings.h
@@ -61,6 +61,8 @@
   // [scheduling]
   AdmissionPolicy admission = AdmissionPolicy::kQueuedWork;
   SharePolicy shares = SharePolicy::kBacklog;
+  // Run time of a task off its preferred rack, in thousandths of that on it.
+  uint32_t remote_run_thousandths = 1000;
 };
 
 // The address at which peers connect to the daemon.
--- a/src/policy_admission.cc
+++ b/src/policy_admission.cc
@@ -266,6 +266,7 @@
         task.kind, absl::ToDoubleSeconds(spec.declared_run), now);
     task.expected_s = static_cast<float>(expected);
     task.slots = static_cast<uint16_t>(spec.slots);
+    task.preferred_rack = rack_room_.Find(spec.preferred_rack);
     if (pool_slots != spec.slots) {
       pool = pools_.FindPool(demand.upstream_classes, spec.slots);
       pool_slots = spec.slots;
--- a/src/policy_placement.cc
+++ b/src/policy_placement.cc
@@ -25,6 +25,9 @@
   ReleaseDelayed(now);
   PromoteUrgent(now);
   lacks_room_ = false;
+  if (auto placement = PlaceRackWaiter(now)) {
+    return placement;
+  }
   while (const auto candidate = Select(now)) {
     if (auto placement = TryPlace(*candidate, now)) {
       return placement;
@@ -44,7 +47,9 @@
                                       double now) const {
   return reserves() && job.promise_was_achievable && !job.late &&
          (job.started || HasCompetition(job)) &&
-         now + task.expected_s / pools_.speed(upstream) > job.promise_by_s;
+         now + task.expected_s * RunFactor(task, upstream) /
+                     pools_.speed(upstream) >
+             job.promise_by_s;
 }
 
 // A job that has started goes on behind all others, so that it does not take
@@ -111,11 +116,20 @@
   const uint32_t number = job_lane->tasks.back();
   const Task& task = job.tasks[number];
   const PoolId pool = lanes_[candidate.lane].pool;
+  const RackChoice choice = ChooseRack(job, task, pool, now);
+  if (choice == RackChoice::kWait) {
+    job_lane->tasks.pop_back();
+    AddRackWaiter(index, number, pool, now);
+    UpdateHeapsAfterPop(index, candidate.lane);
+    return std::nullopt;
+  }
   std::optional<UpstreamId> avoid;
   if (task.avoids_upstream && pools_.HasOther(pool, task.upstream)) {
     avoid = task.upstream;
   }
-  auto upstream = pools_.Choose(pool, job.domains, avoid);
+  auto upstream = choice == RackChoice::kNear
+                      ? pools_.ChooseOnRack(pool, task.preferred_rack, avoid)
+                      : pools_.Choose(pool, job.domains, avoid);
   if (upstream && IsTooSlow(job, task, *upstream, now)) {
     if (now + task.expected_s / pools_.top_speed() <= job.promise_by_s) {
       upstream.reset();  // a faster one may have room soon
@@ -135,7 +149,7 @@
   }
   Place(index, number, *upstream, now);
   UpdateHeapsAfterPop(index, candidate.lane);
-  return Placement{{job.id, number}, *upstream};
+  return MakePlacement(&job, number, pool, now);
 }
 
 void PolicyScheduler::Impl::Place(JobIndex index,
@@ -160,14 +174,18 @@
   task.state = TaskState::kRunning;
   task.upstream = upstream;
   task.avoids_upstream = false;
+  task.rack = pools_.rack(upstream);
+  task.run_factor = static_cast<float>(RunFactor(task, upstream));
+  task.expected_end_s =
+      now + task.expected_s * task.run_factor / pools_.speed(upstream);
+  rack_room_.OnPlaced(task.rack, task.slots, task.expected_end_s);
   pools_.Occupy(upstream, task.slots);
   kinds_.OnPlaced(task.kind, task.slots, now);
   if (reserves()) {
-    const double speed = pools_.speed(upstream);
     internal::AdmissionLedger& ledger = ledgers_[job.ledger].ledger;
     ledger.Advance(now);
     task.end_bucket = static_cast<int32_t>(
-        ledger.AddRunning(now + task.expected_s / speed, task.slots));
+        ledger.AddRunning(task.expected_end_s, task.slots));
   }
   if (pools_.reserved() && task.slots > 1) {
     pools_.EndReservation();
@@ -186,6 +204,7 @@
   --team.running;
   team.running_slots -= task->slots;
   pools_.Occupy(task->upstream, -task->slots);
+  rack_room_.OnEnded(task->rack, task->slots, task->expected_end_s);
   RefreshAllLanes(job->team);
   kinds_.OnEnded(task->kind, task->slots, run_s);
 }
@@ -235,9 +254,10 @@
     return;
   }
   Task& task = job.tasks[ref.task];
-  const double run_s =
-      run_time ? absl::ToDoubleSeconds(*run_time) * pools_.speed(task.upstream)
-               : -1;
+  const double run_s = run_time
+                           ? absl::ToDoubleSeconds(*run_time) *
+                                 pools_.speed(task.upstream) / task.run_factor
+                           : -1;
   ReleaseSlots(&job, &task, run_s);
   task.state = TaskState::kEnded;
   if (reserves() && run_time && job.queued == 0 && job.running == 0 &&
--- a/src/policy_scheduler_impl.h
+++ b/src/policy_scheduler_impl.h
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <limits>
 #include <optional>
@@ -18,6 +19,7 @@
 #include "absl/time/time.h"
 #include "admission_ledger.h"
 #include "admission_shares.h"
+#include "rack_room.h"
 #include "radishrail/clock.h"
 #include "radishrail/policy_scheduler.h"
 #include "radishrail/scheduler.h"
@@ -30,6 +32,7 @@
 namespace scheduling {
 using internal::KindId;
 using internal::PoolId;
+using internal::RackId;
 using JobIndex = uint32_t;
 using TeamId = uint32_t;
 using LaneId = uint32_t;
@@ -71,11 +74,16 @@
 struct Task {
   KindId kind = 0;
   UpstreamId upstream = 0;  // running: its upstream; queued: the one to avoid
-  float expected_s = 0;
-  int32_t end_bucket = 0;  // running, with `kReserved`
+  float expected_s = 0;     // on the preferred rack, if there is one
+  float run_factor = 1;     // of the present run
+  int32_t end_bucket = 0;   // running, with `kReserved`
   uint16_t slots = 1;
   TaskState state = TaskState::kQueued;
   bool avoids_upstream = false;  // `upstream` is to be avoided
+  RackId preferred_rack = internal::kNoRack;
+  RackId rack = internal::kNoRack;  // of the present run
+  double expected_end_s = 0;        // of the present run
+  double rack_wait_since_s = -1;    // negative: it has not waited
 
   double work_s() const { return static_cast<double>(expected_s) * slots; }
 };
@@ -128,6 +136,20 @@
   bool operator>(const HeapEntry& other) const { return key > other.key; }
 };
 
+// A task that waits for room on its preferred rack.
+struct RackWaiter {
+  JobIndex job = 0;
+  uint32_t generation = 0;
+  uint32_t task = 0;
+  PoolId pool = 0;
+  int slots = 0;
+};
+
+struct RackQueue {
+  std::deque<RackWaiter> waiters;  // in the order of their decision
+  int slots = 0;                   // of all waiters
+};
+
 struct DelayedTask {
   double due_s = 0;
   JobIndex job = 0;
@@ -211,7 +233,9 @@
   void Finish(TaskRef ref, std::optional<absl::Duration> run_time);
   void Remove(uint64_t id);
   std::vector<uint64_t> TakeHopeless();
-  void SetUpstream(const UpstreamCapacity& capacity) { pools_.Set(capacity); }
+  void SetUpstream(const UpstreamCapacity& capacity) {
+    pools_.Set(capacity, rack_room_.FindOrAdd(capacity.rack));
+  }
   void RemoveUpstream(UpstreamId upstream) { pools_.Remove(upstream); }
   SchedulerLoad load() const {
     SchedulerLoad load;
@@ -236,6 +260,8 @@
   using Job = scheduling::Job;
   using HeapEntry = scheduling::HeapEntry;
   using DelayedTask = scheduling::DelayedTask;
+  using RackWaiter = scheduling::RackWaiter;
+  using RackQueue = scheduling::RackQueue;
   using TeamLane = scheduling::TeamLane;
   using Team = scheduling::Team;
   using Environment = scheduling::Environment;
@@ -347,6 +373,21 @@
     return kinds_.ClassifyLong(
         task.kind, kinds_.Expected(task.kind, task.expected_s, now));
   }
+  // Racks.
+  RackChoice ChooseRack(const Job& job,
+                        const Task& task,
+                        PoolId pool,
+                        double now) const;
+  // Expected run time of the task there, as a multiple of that on its rack.
+  double RunFactor(const Task& task, UpstreamId upstream) const;
+  double WaitForRack(const Task& task, PoolId pool, double now) const;
+  void AddRackWaiter(JobIndex index, uint32_t task, PoolId pool, double now);
+  void DropFirstRackWaiter(RackQueue* queue);
+  std::optional<Placement> PlaceRackWaiter(double now);
+  void ReviewRackWaiters(double now);
+  bool IsWaiting(const RackWaiter& waiter) const;
+  Placement MakePlacement(Job* job, uint32_t task, PoolId pool, double now);
+
   void AddShortWork(double work_s, double now);
   double ShortWorkRate(double now) const;
 
@@ -358,6 +399,10 @@
   const double fair_share_backlog_s_;
   internal::RunTimeTable kinds_;
   internal::UpstreamPools pools_;
+  internal::RackRoom rack_room_;
+  std::vector<RackQueue> rack_queues_;  // by rack
+  size_t rack_waiters_ = 0;
+  double next_rack_review_s_ = 0;
 
   std::vector<Job> jobs_;
   std::vector<JobIndex> free_jobs_;
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -144,6 +144,10 @@
         "with `--platform`, where shares act: on the order of tasks while much "
         "work is queued, or at admission as well, if `admission` is "
         "`reserved`"},
+    Key{"scheduling", "remote_run_factor", Type::kThousandths,
+        &Settings::remote_run_thousandths, 1000, 100000, false,
+        "run time of a task off the rack of its data, as a multiple of that on "
+        "it, with `--platform`; 1: racks are ignored"},
 };
 
 bool IsName(std::string_view text) {
