Test a daemon with clients outside the limits

Bodies of clients are kept whole in memory, up to max_connections times max_body_bytes, and a client that stops short of the end of its request keeps its connection. The new process test starts a daemon with 300 connections and bodies of 262,144 bytes, without a memory size in its settings (then the smallest VM, 128 MiB, counts; clients may take a quarter, and the bound leaves 16 MiB for buffers and the allocator). It holds a crowd of 300 clients and checks that the process lives, that its peak memory grew by at most 48 MiB (4 MiB for single requests), that its descriptors are bounded, and that one ordinary request is answered while the crowd is connected. There are no checks of time; 30 s without an answer count as a hang.

The daemon under test has a peer: a daemon without one never reports the load of its own pool to itself, so it refuses all jobs (no_owner).

--- /dev/null
+++ b/tests/client_crowd_test.cc
@@ -0,0 +1,479 @@
+// Starts a daemon and sends it what clients outside the limits send: many
+// requests that stop just short of their end and stay open. Guards against a
+// daemon that runs out of memory, ends, or serves no one else meanwhile.
+
+#include <fcntl.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <future>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "../tools/soak/child_process.h"
+#include "../tools/soak/runner_standin.h"
+#include "../tools/soak/table_standin.h"
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "gtest/gtest.h"
+#include "radishrail/clock.h"
+#include "socket_address.h"
+#include "socket_test_util.h"
+
+namespace radishrail {
+namespace {
+
+// The daemon's settings. The crowd takes all its connections, a small part of
+// the 2,000 of the deploy file, with bodies of the largest legal size.
+constexpr int kMaxConnections = 300;
+constexpr size_t kMaxBodyBytes = 262144;
+// The settings name no memory size, so the daemon must do with the smallest VM
+// (128 MiB). Clients may take a quarter of that; the rest of the bound is for
+// buffers of the sockets' library and for the allocator.
+constexpr int64_t kMaxGrowthKb = (32 + 16) * 1024;
+// For one request: 16 times its size.
+constexpr int64_t kMaxParsingGrowthKb = 16 * 256;
+// Descriptors beyond those of the clients' connections that a crowd may cost.
+constexpr int kDescriptorSlack = 32;
+// Bytes that one connection sends before the next one is served.
+constexpr size_t kPieceBytes = 4096;
+// Pause without progress of any connection, after which a crowd is complete.
+constexpr int kCrowdIdleMs = 1000;
+constexpr absl::Duration kTickInterval = absl::Milliseconds(10);
+
+int64_t FreePort() {
+  uint16_t port = 0;
+  const auto listener = internal::ListenOn("127.0.0.1:0", &port, nullptr);
+  return port;
+}
+
+// The daemon of this build; the variable names that of another one.
+std::string DaemonPath() {
+  const char* path = std::getenv("RADISHRAIL_TEST_DAEMON");
+  return path != nullptr ? path : RADISHRAILD_PATH;
+}
+
+std::string Repeat(std::string_view text, size_t n) {
+  std::string out;
+  out.reserve(text.size() * n);
+  for (size_t i = 0; i < n; ++i) {
+    out.append(text);
+  }
+  return out;
+}
+
+std::string PostHeader(std::string_view body_header) {
+  return absl::StrCat("POST /queue/crowd HTTP/1.1\r\nHost: host\r\n",
+                      std::string(body_header), "\r\n\r\n");
+}
+
+std::string WholeRequest(std::string_view body) {
+  return absl::StrCat(PostHeader(absl::StrCat("Content-Length: ", body.size())),
+                      std::string(body));
+}
+
+// A body of the largest size, without its last byte.
+std::string UnfinishedBody() {
+  return absl::StrCat(
+      PostHeader(absl::StrCat("Content-Length: ", kMaxBodyBytes)),
+      std::string(kMaxBodyBytes - 1, 'x'));
+}
+
+// A body of the largest size in chunks, without the chunk that ends it.
+std::string UnfinishedChunks(size_t chunk_bytes) {
+  return PostHeader("Transfer-Encoding: chunked") +
+         Repeat(absl::StrCat(absl::Hex(chunk_bytes), "\r\n",
+                             std::string(chunk_bytes, 'x'), "\r\n"),
+                kMaxBodyBytes / chunk_bytes);
+}
+
+// Connections that send one text each, in turn, and then stay open.
+class Crowd {
+ public:
+  Crowd(const std::string& address, int size, std::string text)
+      : text_(std::move(text)) {
+    const auto parsed = internal::ParseSocketAddress(address, nullptr);
+    for (int i = 0; i < size; ++i) {
+      Member it;
+      it.fd = internal::FileDescriptor(
+          socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+      if (connect(it.fd.get(), parsed->get(), parsed->size) == 0 ||
+          errno == EINPROGRESS) {
+        members_.push_back(std::move(it));
+      }
+    }
+  }
+
+  // Sends until all texts are sent or their connections closed, or until no
+  // connection takes more.
+  void Send(size_t piece_bytes) {
+    while (true) {
+      std::vector<pollfd> sockets;
+      std::vector<Member*> open;
+      for (auto& it : members_) {
+        if (it.fd.valid() && it.sent < text_.size()) {
+          sockets.push_back({it.fd.get(), POLLOUT, 0});
+          open.push_back(&it);
+        }
+      }
+      if (sockets.empty() ||
+          poll(sockets.data(), sockets.size(), kCrowdIdleMs) <= 0) {
+        return;
+      }
+      for (size_t i = 0; i < sockets.size(); ++i) {
+        if (sockets[i].revents != 0) {
+          SendPiece(*open[i], piece_bytes);
+        }
+      }
+    }
+  }
+
+ private:
+  struct Member {
+    internal::FileDescriptor fd;
+    size_t sent = 0;
+  };
+
+  void SendPiece(Member& member, size_t piece_bytes) {
+    const size_t n = std::min(piece_bytes, text_.size() - member.sent);
+    const ssize_t sent = send(member.fd.get(), text_.data() + member.sent, n,
+                              MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent > 0) {
+      member.sent += static_cast<size_t>(sent);
+    } else if (errno != EAGAIN) {
+      member.fd.Reset();
+    }
+  }
+
+  const std::string text_;
+  std::vector<Member> members_;
+};
+
+class ClientCrowdTest : public testing::Test {
+ protected:
+  ClientCrowdTest()
+      : directory_(absl::StrCat(testing::TempDir(), "client_crowd_", getpid())),
+        loop_("crowd"),
+        client_(ClientSettings(), loop_),
+        table_(loop_),
+        runner_(loop_,
+                clock_,
+                log_,
+                table_,
+                "d1r0",
+                "d1",
+                [](const StartOrder&) { return std::string(); }) {}
+
+  ~ClientCrowdTest() override {
+    RunOnLoop([this] { stopped_ = true; });
+    daemon_.reset();
+    peer_.reset();
+    if (HasFailure()) {
+      std::cout << std::ifstream(directory_ + "/daemon0.log").rdbuf();
+    }
+    client_.Stop();
+    runner_.Stop();
+    table_.Stop();
+    loop_.Stop();
+    std::filesystem::remove_all(directory_);
+  }
+
+  void SetUp() override {
+    std::filesystem::create_directories(directory_);
+    Error error;
+    ASSERT_TRUE(table_.Start(&error)) << error.ToString();
+    ASSERT_TRUE(runner_.Start(&error)) << error.ToString();
+    runner_.SetEntryAddress(runner_.address());
+    runner_.max_run_time = absl::Milliseconds(20);
+    RunOnLoop([this] {
+      table_.Put("op/config",
+                 R"({"version":1,"routes":[{"name":"queue","host":"host",)"
+                 R"("pathPrefix":"/queue/","service":"svc","attempts":3,)"
+                 R"("stretch":4,"targetLatencyMs":400}],)"
+                 R"("services":[{"name":"svc"}],"limits":{}})");
+      Tick(0);
+    });
+    StartDaemon(0);
+    StartDaemon(1);
+    ASSERT_TRUE(OrdinaryRequestIsAnswered());
+    descriptors_before_ = CountDescriptors();
+    memory_before_kb_ = ReadStatusKb("VmHWM:");
+    ASSERT_GT(memory_before_kb_, 0);
+  }
+
+  // Starts daemon 0, which gets the crowds, or its peer: a daemon without peers
+  // reports no load to itself and so offers its own pool no jobs.
+  void StartDaemon(int i) {
+    const auto address = [] { return absl::StrCat("127.0.0.1:", FreePort()); };
+    const std::array<std::string, 4> addresses = {address(), address(),
+                                                  address(), address()};
+    if (i == 0) {
+      caller_address_ = addresses[0];
+      ready_address_ = addresses[1];
+      operator_address_ = addresses[2];
+      peer_address_ = addresses[3];
+    }
+    const std::string stem = absl::StrCat(directory_, "/daemon", i);
+    std::ofstream(stem + ".ini")
+        << "[daemon]\nvm = d1n" << i
+        << "\nfailure_domain = d1\nfailure_domains = d1"
+        << "\ncaller_address = " << addresses[0]
+        << "\nready_address = " << addresses[1]
+        << "\noperator_address = " << addresses[2]
+        << "\npeer_address = " << addresses[3]
+        << "\n[platform]\naddress = " << table_.address()
+        << "\ntimeout = 1s\n[peers]\ncluster_key = crowd-cluster-key\n"
+           "[operators]\ntoken = crowd-operator-token\n"
+           "[lease]\nlength = 1s\nrenew_interval = 300ms\n"
+           "[requests]\nidle_timeout = 600s\nmax_connections = "
+        << kMaxConnections << "\nmax_body_bytes = " << kMaxBodyBytes << "\n";
+    auto& daemon = i == 0 ? daemon_ : peer_;
+    daemon = std::make_unique<ChildProcess>(
+        std::vector<std::string>{DaemonPath(), "--platform", "--config",
+                                 stem + ".ini"},
+        stem + ".log");
+    ASSERT_TRUE(daemon->Start());
+  }
+
+  // A job with one task, from a client that repeats refused requests.
+  bool OrdinaryRequestIsAnswered() {
+    const absl::Time deadline = absl::Now() + kTestWait;
+    while (absl::Now() < deadline) {
+      HttpClientRequest request;
+      request.method = "POST";
+      request.address = caller_address_;
+      request.target = absl::StrCat("/queue/job", ++jobs_);
+      request.headers = {"Host: host", "Content-Type: application/json",
+                         "X-Deadline-Ms: 1500", "Connection: close"};
+      request.body = R"({"spec":"s","steps":[{"count":1,"cpu":8000,"memMb":64,)"
+                     R"("estimateMs":20}],"bestEffort":true})";
+      request.timeout = absl::Seconds(3);
+      const HttpResult result = SendAsync(client_, std::move(request)).Wait();
+      if (result.status == 200) {
+        EXPECT_TRUE(absl::StrContains(result.body, "completed")) << result.body;
+        return true;
+      }
+      last_answer_ = absl::StrCat(result.status, " ", result.body, " ",
+                                  result.error.ToString());
+      absl::SleepFor(10 * kTickInterval);
+    }
+    std::cout << "last answer: " << last_answer_ << "\n";
+    return false;
+  }
+
+  // What must hold while a crowd is connected and after it. The ordinary
+  // request comes first: once it is answered, the daemon has read what the
+  // crowd sent.
+  void ExpectWithinBounds(int64_t max_growth_kb = kMaxGrowthKb) {
+    EXPECT_TRUE(OrdinaryRequestIsAnswered());
+    ASSERT_EQ(daemon_->PollExitStatus(), std::nullopt) << "the daemon ended";
+    const int64_t growth_kb = ReadStatusKb("VmHWM:") - memory_before_kb_;
+    RecordProperty("growth_kb", std::to_string(growth_kb));
+    EXPECT_LE(growth_kb, max_growth_kb);
+    EXPECT_LE(CountDescriptors(),
+              descriptors_before_ + kMaxConnections + kDescriptorSlack);
+  }
+
+  void HoldCrowd(const std::string& text, size_t piece_bytes) {
+    HoldCrowdAt(caller_address_, kMaxConnections, text, piece_bytes);
+  }
+
+  void HoldCrowdAt(const std::string& address,
+                   int size,
+                   const std::string& text,
+                   size_t piece_bytes) {
+    Crowd crowd(address, size, text);
+    crowd.Send(piece_bytes);
+    ExpectWithinBounds();
+  }
+
+  // Sends a request and waits for the end of its connection or response.
+  std::string SendOne(const std::string& text) const {
+    auto connection = RawConnection::To(caller_address_);
+    connection.TryWrite(text);
+    return connection.ReadUntil("\r\n\r\n");
+  }
+
+  int64_t ReadStatusKb(std::string_view field) const {
+    std::ifstream status(absl::StrCat("/proc/", daemon_->pid(), "/status"));
+    std::string name;
+    int64_t kb = 0;
+    while (status >> name) {
+      if (name == field && status >> kb) {
+        return kb;
+      }
+    }
+    return 0;
+  }
+
+  int CountDescriptors() const {
+    std::error_code error;
+    const std::filesystem::directory_iterator files(
+        absl::StrCat("/proc/", daemon_->pid(), "/fd"), error);
+    return static_cast<int>(std::distance(begin(files), end(files)));
+  }
+
+  std::string caller_address_;
+  std::string operator_address_;
+  std::string ready_address_;
+  std::string peer_address_;
+
+ private:
+  static HttpClientSettings ClientSettings() {
+    HttpClientSettings settings;
+    settings.thread_name = "callers";
+    return settings;
+  }
+
+  void RunOnLoop(const std::function<void()>& call) {
+    std::promise<void> done;
+    loop_.Post([&] {
+      call();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  void Tick(int n) {
+    if (stopped_) {
+      return;
+    }
+    constexpr int kTicksPerHeartbeat = 50;
+    if (n % kTicksPerHeartbeat == 0) {
+      runner_.WriteEntry();
+    }
+    table_.Tick();
+    loop_.PostDelayed(kTickInterval, [this, n] { Tick(n + 1); });
+  }
+
+  const std::string directory_;
+  const SystemClock clock_;
+  ControlLoop loop_;
+  HttpClient client_;
+  RunLog log_;
+  TableStandin table_;
+  RunnerStandin runner_;
+  std::unique_ptr<ChildProcess> daemon_;
+  std::unique_ptr<ChildProcess> peer_;
+  bool stopped_ = false;
+  int jobs_ = 0;
+  std::string last_answer_;
+  int descriptors_before_ = 0;
+  int64_t memory_before_kb_ = 0;
+};
+
+TEST_F(ClientCrowdTest, WholeBodies_WithoutLastByte_StayWithinBounds) {
+  HoldCrowd(UnfinishedBody(), kMaxBodyBytes);
+}
+
+TEST_F(ClientCrowdTest, BodiesInPieces_WithoutLastByte_StayWithinBounds) {
+  HoldCrowd(UnfinishedBody(), kPieceBytes);
+}
+
+TEST_F(ClientCrowdTest, LargeChunks_WithoutLastChunk_StayWithinBounds) {
+  constexpr size_t kChunkBytes = 65536;
+  HoldCrowd(UnfinishedChunks(kChunkBytes), kMaxBodyBytes);
+}
+
+// Guards against a cost for each chunk, too.
+TEST_F(ClientCrowdTest, TinyChunks_WithoutLastChunk_StayWithinBounds) {
+  constexpr size_t kChunkBytes = 16;
+  HoldCrowd(UnfinishedChunks(kChunkBytes), kPieceBytes);
+}
+
+// Guards against memory that stays with the process after each crowd.
+TEST_F(ClientCrowdTest, CrowdAfterCrowd_StaysWithinBounds) {
+  constexpr int kCrowds = 4;
+  constexpr size_t kChunkBytes = 65536;
+  for (int i = 0; i < kCrowds; ++i) {
+    HoldCrowd(i % 2 == 0 ? UnfinishedBody() : UnfinishedChunks(kChunkBytes),
+              kPieceBytes);
+  }
+  ExpectWithinBounds();
+}
+
+// Guards against a parser that builds an object for each element of a body.
+TEST_F(ClientCrowdTest, BodyOfManySmallElements_CostsBoundedMemory) {
+  for (const std::string_view it : {"[", "[],", "{},", "0,", "{\"\":"}) {
+    const std::string start = R"({"bestEffort":true,"steps":[)";
+    const size_t n = (kMaxBodyBytes - start.size() - 4) / it.size();
+    SendOne(WholeRequest(absl::StrCat(start, Repeat(it, n), "0]}")));
+  }
+  ExpectWithinBounds(kMaxParsingGrowthKb);
+}
+
+// Guards against a name of a step that is copied for each of its tasks.
+TEST_F(ClientCrowdTest, BodyOfManyTasksWithLongName_CostsBoundedMemory) {
+  const std::string start =
+      R"({"bestEffort":true,"steps":[{"count":512,"affinity":")";
+  SendOne(WholeRequest(absl::StrCat(
+      start, std::string(kMaxBodyBytes - start.size() - 4, 'x'), "\"}]}")));
+  ExpectWithinBounds(kMaxParsingGrowthKb);
+}
+
+// Guards against connections that are held before a request is known.
+TEST_F(ClientCrowdTest, HeadersWithoutEnd_StayWithinBounds) {
+  constexpr size_t kHeaderBytes = 16000;
+  HoldCrowd(absl::StrCat("POST /queue/crowd HTTP/1.1\r\nHost: host\r\nX-Long: ",
+                         std::string(kHeaderBytes, 'x')),
+            kPieceBytes);
+}
+
+// Guards against clients that let the daemon wait for a body it has asked for.
+TEST_F(ClientCrowdTest, ExpectContinue_WithoutBody_StaysWithinBounds) {
+  HoldCrowd(PostHeader(absl::StrCat("Expect: 100-continue\r\nContent-Length: ",
+                                    kMaxBodyBytes)),
+            kPieceBytes);
+}
+
+// Guards against bodies of requests that need none.
+TEST_F(ClientCrowdTest, DeleteWithBody_WithoutLastByte_StaysWithinBounds) {
+  HoldCrowd(
+      absl::StrCat(
+          "DELETE /queue/crowd HTTP/1.1\r\nHost: host\r\nContent-Length: ",
+          kMaxBodyBytes, "\r\n\r\n", std::string(kMaxBodyBytes - 1, 'x')),
+      kPieceBytes);
+}
+
+// Guards against clients that send request after request and read no answer.
+TEST_F(ClientCrowdTest, PipelinedRequests_AnswersNotRead_StayWithinBounds) {
+  constexpr size_t kRequests = 5000;
+  HoldCrowd(
+      Repeat("GET /queue/crowd HTTP/1.1\r\nHost: host\r\n\r\n", kRequests),
+      kPieceBytes);
+}
+
+// Guards against the larger default limits of the addresses that are not for
+// callers.
+TEST_F(ClientCrowdTest, BodiesAtOtherAddresses_StayWithinBounds) {
+  constexpr int kConnections = 60;
+  constexpr size_t kBodyBytes = 4 * 1024 * 1024;
+  const std::string text = absl::StrCat(
+      "POST /metrics HTTP/1.1\r\nHost: host\r\nContent-Length: ", kBodyBytes,
+      "\r\n\r\n", std::string(kBodyBytes - 1, 'x'));
+  HoldCrowdAt(operator_address_, kConnections, text, kMaxBodyBytes);
+  HoldCrowdAt(ready_address_, kConnections, text, kMaxBodyBytes);
+}
+
+// Guards against memory for peers that have not shown the cluster key.
+TEST_F(ClientCrowdTest, UnfinishedFramesAtPeerAddress_StayWithinBounds) {
+  constexpr std::string_view kLength("\0\0\x0f\xff", 4);
+  HoldCrowdAt(peer_address_, kMaxConnections,
+              absl::StrCat(std::string(kLength), std::string(4000, 'x')),
+              kPieceBytes);
+}
+
+}  // namespace
+}  // namespace radishrail
--- a/tools/soak/child_process.h
+++ b/tools/soak/child_process.h
@@ -29,6 +29,8 @@
   // first time; does not block.
   std::optional<int> PollExitStatus();
   bool running() const { return pid_ > 0; }
+  // The process id; 0 if the process is not running.
+  pid_t pid() const { return pid_; }
 
  private:
   void SetPid(pid_t pid);
