Bound the memory that decoding a job takes

The parser built an object for each value of a body, and each task got a copy of its step's affinity: one body of 262,144 bytes with 512 tasks and a long affinity took 394 MB (client_crowd_test), one of small elements 18.6 MB. Values and nesting are now counted before the body is parsed; a job with more than 16,384 values or 16 levels is refused with 503 as not supported. An affinity of more than 200 bytes (the limit of names in the store) and a spec of more than 16,000 bytes (the users' protocol allows 4,000) are refused with 400. The older API reads jobs event by event and needs no such check.

The fuzz test covers bodies of many small elements, with the bytes that decoding allocates bounded by 16 times the largest body.

--- a/tests/decoder_fuzz_test.cc
+++ b/tests/decoder_fuzz_test.cc
@@ -1,9 +1,44 @@
+#include <malloc.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <new>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gtest/gtest.h"
 #include "radishrail/job_json.h"
 #include "radishrail/random.h"
+#include "wire.h"
+
+namespace {
+
+// Bytes allocated now, and the most since the last reset.
+size_t allocated_bytes = 0;
+size_t peak_bytes = 0;
+
+}  // namespace
+
+void* operator new(size_t size) {
+  void* memory = std::malloc(size);
+  if (memory == nullptr) {
+    throw std::bad_alloc();
+  }
+  allocated_bytes += malloc_usable_size(memory);
+  peak_bytes = std::max(peak_bytes, allocated_bytes);
+  return memory;
+}
+
+void operator delete(void* memory) noexcept {
+  allocated_bytes -= malloc_usable_size(memory);
+  std::free(memory);
+}
+
+void operator delete(void* memory, size_t /*size*/) noexcept {
+  operator delete(memory);
+}
 
 namespace radishrail {
 namespace {
@@ -94,6 +129,42 @@
   }
 }
 
+// Guards against bodies of legal size that cost many times their size to parse:
+// many small elements, deep nesting, and values that are copied for each task.
+TEST(DecoderFuzzTest, JobBody_OfManySmallElements_CostsBoundedMemory) {
+  constexpr size_t kBodyBytes = 256 * 1024;
+  constexpr size_t kMaxBytes = 16 * kBodyBytes;
+  constexpr std::array<std::string_view, 5> kStarts = {
+      "", R"({"bestEffort":true,"steps":[)",
+      R"({"bestEffort":true,"steps":[{"count":512,"dependsOn":[)",
+      R"({"bestEffort":true,"steps":[{"count":512,"affinity":")",
+      R"({"environment":"e","tasks":[)"};
+  constexpr std::array<std::string_view, 10> kElements = {
+      "[",   "[],", "{},",       "0,",         "{\"\":",
+      "\"a", "[[]", R"({"id":)", "{\"a\":0},", "x"};
+  constexpr std::array<std::string_view, 4> kEnds = {"", "0]}", "\"}]}",
+                                                     "0]}]}"};
+  for (uint64_t seed = 1; seed <= 1000 && !testing::Test::HasFailure();
+       ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    SeededRandom random(seed);
+    std::string body(kStarts[random.Below(kStarts.size())]);
+    const std::string_view first = kElements[random.Below(kElements.size())];
+    const std::string_view second = kElements[random.Below(kElements.size())];
+    const size_t size = random.Below(kBodyBytes);
+    while (body.size() < size) {
+      body += random.Below(64) == 0 ? second : first;
+    }
+    body += kEnds[random.Below(kEnds.size())];
+    const size_t before = allocated_bytes;
+    peak_bytes = before;
+    Error error;
+    platform::DecodeJob(body, &error);
+    ParseJob(body, "key", &error);
+    EXPECT_LE(peak_bytes - before, kMaxBytes);
+  }
+}
+
 // Guards against crashes on a malformed response to a forwarded request.
 TEST(DecoderFuzzTest, JobAnswer_Mutated_IsRejectedOrWritable) {
   JobAnswer answer;
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -45,6 +45,34 @@
   EXPECT_EQ(job->payload, "text");
 }
 
+// Guards against jobs that cost many times the size of their body.
+TEST_F(WireTest, DecodeJob_LongTextsOrManyValues_AreRefused) {
+  const std::string longest_spec(16'000, 'x');
+  EXPECT_TRUE(DecodeJob(R"({"bestEffort":true,"spec":")" + longest_spec +
+                            R"(","steps":[{"count":1}]})",
+                        &error_)
+                  .has_value());
+  EXPECT_FALSE(DecodeJob(R"({"bestEffort":true,"spec":"x)" + longest_spec +
+                             R"(","steps":[{"count":1}]})",
+                         &error_)
+                   .has_value());
+  EXPECT_EQ(error_.code, ErrorCode::kInvalidArgument);
+  const std::string rack(201, 'r');
+  EXPECT_FALSE(
+      DecodeJob(Job(R"("count":2,"affinity":")" + rack + "\""), &error_)
+          .has_value());
+  EXPECT_EQ(error_.code, ErrorCode::kInvalidArgument);
+  std::string list = "0";
+  for (int i = 0; i < 20'000; ++i) {
+    list += ",0";
+  }
+  EXPECT_FALSE(
+      DecodeJob(Job(R"("count":1,"dependsOn":[)" + list + "]"), &error_)
+          .has_value());
+  // Status 503, which promises that the job never runs.
+  EXPECT_EQ(error_.code, ErrorCode::kInfeasible);
+}
+
 // Guards against running a job while ignoring one of its requirements.
 TEST_F(WireTest, DecodeJob_UnsupportedFeature_IsInfeasible) {
   for (const char* it :
