Limit the memory and connections that clients occupy

The HTTP server kept every body whole, up to max_connections times max_body_bytes, and accepted nobody while max_connections were held.

Without room, large or stalled bodies are closed first, by size times silence, then idle connections; requests that await an answer are not. A request whose declared body would itself be next gets status 503 with Retry-After before its body is read, so it has not run; one without a declared length is closed. A connection beyond max_connections closes another one by the same order, so accepting goes on. Requests that are sent after an unanswered one stay in the socket's buffer; they are counted too, and the connections with most are closed. Connections of one address are not limited: clients arrive through the platform's balancer, so many may share an address.

--- a/include/radishrail/http_server.h
+++ b/include/radishrail/http_server.h
@@ -12,6 +12,7 @@
 
 #include "absl/time/time.h"
 #include "radishrail/error.h"
+#include "radishrail/memory_budget.h"
 
 namespace radishrail {
 
@@ -66,7 +67,12 @@
 struct HttpServerSettings {
   std::string address = "127.0.0.1:0";  // port 0: any free port
   int threads = 1;
+  // A connection beyond this number closes the one that has been idle or
+  // stalled for longest; it waits if all connections await answers.
   int max_connections = 4096;
+  // Shared by the servers of a process; null: no limit. Without room, a request
+  // gets status 503 or a connection is closed, see `ChooseConnectionToClose`.
+  std::shared_ptr<MemoryBudget> memory;
   size_t max_body_bytes = 4 * 1024 * 1024;
   size_t max_header_bytes = 16 * 1024;
   // Connections without traffic are closed after this time; whole seconds.
@@ -86,6 +92,15 @@
                                               "Idempotency-Key"};
 };
 
+// What a server did since its start to stay within its limits.
+struct HttpLimitCounts {
+  uint64_t requests_refused_for_memory = 0;  // with status 503
+  uint64_t connections_closed_for_memory = 0;
+  uint64_t connections_closed_for_number = 0;
+  uint64_t connections_closed_for_unread_bytes = 0;
+  uint64_t connections_closed_for_time = 0;
+};
+
 // HTTP/1.1 server with a pool of threads.
 class HttpServer {
  public:
@@ -100,6 +115,7 @@
   std::string address() const;
   // Requests whose header was received and whose response is not yet sent.
   int requests_in_progress() const;
+  HttpLimitCounts limit_counts() const;
   // Start of the last check for disconnected clients whose callbacks have run,
   // on the monotonic clock: the other clients were connected then. Requires
   // `HttpServerSettings::client_check_interval`.
--- a/include/radishrail/settings.h
+++ b/include/radishrail/settings.h
@@ -28,6 +28,7 @@
   // Address at which peers connect, if it differs from `peer_address`.
   std::string advertised_peer_address;
   std::string ready_address = "127.0.0.1:7303";
+  size_t memory_mb = 128;  // the smallest VMs have about this much
   int caller_threads = 4;
   int upstream_threads = 4;
   LogLevel log_level = LogLevel::kInfo;
@@ -54,6 +55,7 @@
   absl::Duration drain_timeout = absl::Seconds(60);
 
   // [requests]
+  size_t client_memory_mb = 0;  // 0: a share of `memory_mb`
   size_t max_body_bytes = 4 * 1024 * 1024;
   int max_connections = 4096;
   absl::Duration idle_timeout = absl::Seconds(10);
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -2,6 +2,7 @@
 
 #include <microhttpd.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -20,6 +21,7 @@
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
 #include "radishrail/clock.h"
 #include "radishrail/log.h"
 #include "socket_address.h"
@@ -42,6 +44,16 @@
 // Time for a stopping server to send error responses to unanswered requests.
 constexpr auto kFinalSendTimeout = std::chrono::seconds(1);
 
+// Connections that libmicrohttpd accepts beyond `max_connections`, so that one
+// can be closed for each new one: it closes them only after it has accepted up
+// to ten others. A share of the limit within these bounds.
+constexpr int kSpareConnectionsDivisor = 16;
+constexpr int kMinSpareConnections = 1;
+constexpr int kMaxSpareConnections = 64;
+// First capacity of the buffer of a body without a declared length.
+constexpr size_t kMinBodyBuffer = 4096;
+constexpr auto kLimitLogInterval = std::chrono::seconds(1);
+
 // Longer log lines of libmicrohttpd are truncated.
 constexpr size_t kMaxLogLine = 256;
 
@@ -73,6 +85,11 @@
   delete static_cast<std::string*>(body);
 }
 
+int UnreadBytes(int fd) {
+  int n = 0;
+  return ioctl(fd, FIONREAD, &n) == 0 ? n : 0;
+}
+
 bool HasClientDisconnected(MHD_Connection* connection) {
   const MHD_ConnectionInfo* info =
       MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
@@ -117,6 +134,14 @@
   return MHD_YES;
 }
 
+// 0 if no length is declared; libmicrohttpd refuses invalid ones.
+uint64_t DeclaredBodyBytes(MHD_Connection* connection) {
+  const char* value = MHD_lookup_connection_value(
+      connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
+  uint64_t length = 0;
+  return value != nullptr && absl::SimpleAtoi(value, &length) ? length : 0;
+}
+
 MHD_Result AddQuery(void* query,
                     MHD_ValueKind /*kind*/,
                     const char* name,
@@ -321,6 +346,10 @@
     const std::lock_guard lock(mutex_);
     return static_cast<int>(requests_.size());
   }
+  HttpLimitCounts limit_counts() const {
+    const std::lock_guard lock(mutex_);
+    return counts_;
+  }
 
  private:
   using StatePointer = std::shared_ptr<HttpRequestState>;
@@ -347,22 +376,24 @@
                       const char* url,
                       const char* method,
                       void** context);
-  MHD_Result OnBody(HttpRequestState& state,
+  MHD_Result OnBody(MHD_Connection* connection,
+                    HttpRequestState& state,
                     const char* data,
-                    size_t* size) const;
+                    size_t* size);
   MHD_Result OnRequestEnd(MHD_Connection* connection,
                           const StatePointer& state);
   MHD_Result RejectTooLarge(MHD_Connection* connection,
                             int status,
                             const char* detail);
   void FillRequest(MHD_Connection* connection, HttpRequest& request) const;
-  bool DeclaresTooLargeBody(MHD_Connection* connection) const;
+  MHD_Result RefuseForMemory(MHD_Connection* connection);
   bool closes_connections() const {
     const std::lock_guard lock(mutex_);
     return stopping_ || close_after_responses_;
   }
   void CheckClients();
   void CheckWaitingClients();
+  void CloseForUnreadBytes(std::vector<std::pair<size_t, StatePointer>> unread);
   bool WaitUntilIdle(std::chrono::steady_clock::time_point deadline);
   void Sweep();
   void StopSweeper();
@@ -373,8 +404,27 @@
     int fd = -1;
     bool receiving = true;
     std::chrono::steady_clock::time_point since;
+    HeldMemory::Phase phase = HeldMemory::Phase::kIdle;
+    std::chrono::steady_clock::time_point last_received;
+    // The request whose body is received; null otherwise.
+    HttpRequestState* body_owner = nullptr;
+    // Reserved in the budget, besides the connection's own memory.
+    size_t body_bytes = 0;
+    // Was shut down; its memory is released in the budget.
+    bool closing = false;
   };
   static ConnectionRecord* GetRecord(MHD_Connection* connection);
+  size_t connection_memory_bytes() const {
+    return std::max(kConnectionMemoryBytes, 2 * settings_.max_header_bytes);
+  }
+  // The functions from here on require `mutex_`.
+  ConnectionRecord* ChooseToClose() const;
+  void Close(ConnectionRecord& record, uint64_t& counter);
+  void CloseIfTooMany();
+  bool ReserveMemory(const ConnectionRecord& record, size_t bytes);
+  bool GrowBody(ConnectionRecord& record, std::string& body, size_t capacity);
+  void ReleaseBody(ConnectionRecord& record);
+  void LogCounts();
 
   const HttpServerSettings settings_;
   const HttpHandler handler_;
@@ -394,6 +444,9 @@
   // Set when the stop timeout has passed; new requests then get status 503.
   bool rejecting_requests_ = false;
   bool sweeper_running_ = false;
+  size_t closing_connections_ = 0;
+  HttpLimitCounts counts_;
+  std::chrono::steady_clock::time_point last_limit_log_;
   absl::flat_hash_set<std::unique_ptr<ConnectionRecord>> connections_;
   std::thread sweeper_;
 };
@@ -404,14 +457,16 @@
     return false;
   }
   std::vector<MHD_OptionItem> options = {
-      {MHD_OPTION_CONNECTION_LIMIT, settings_.max_connections, nullptr},
+      {MHD_OPTION_CONNECTION_LIMIT,
+       settings_.max_connections +
+           std::clamp(settings_.max_connections / kSpareConnectionsDivisor,
+                      kMinSpareConnections, kMaxSpareConnections),
+       nullptr},
       {MHD_OPTION_CONNECTION_TIMEOUT,
        std::max<intptr_t>(1, absl::ToInt64Seconds(settings_.idle_timeout)),
        nullptr},
       {MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-       static_cast<intptr_t>(
-           std::max(kConnectionMemoryBytes, 2 * settings_.max_header_bytes)),
-       nullptr},
+       static_cast<intptr_t>(connection_memory_bytes()), nullptr},
       {MHD_OPTION_LISTEN_SOCKET, listener->get(), nullptr}};
   if (settings_.threads > 1) {
     options.push_back(
@@ -457,8 +512,8 @@
     }
     const auto cutoff = std::chrono::steady_clock::now() - timeout;
     for (const auto& it : connections_) {
-      if (it->receiving && it->since < cutoff) {
-        shutdown(it->fd, SHUT_RDWR);
+      if (it->receiving && it->since < cutoff && !it->closing) {
+        Close(*it, counts_.connections_closed_for_time);
       }
     }
     if (settings_.client_check_interval > absl::ZeroDuration()) {
@@ -489,18 +544,144 @@
   for (auto& it : waiting) {
     const int fd = it->waiting_fd();
     if (fd >= 0) {
-      sockets.push_back({fd, POLLRDHUP, 0});
+      sockets.push_back({fd, POLLRDHUP | POLLIN, 0});
       states.push_back(std::move(it));
     }
   }
   if (sockets.empty() || poll(sockets.data(), sockets.size(), 0) <= 0) {
     return;
   }
+  std::vector<std::pair<size_t, StatePointer>> unread;
   for (size_t i = 0; i < sockets.size(); ++i) {
     if ((sockets[i].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
       states[i]->HandleClientDisconnect();
+    } else if ((sockets[i].revents & POLLIN) != 0) {
+      unread.emplace_back(UnreadBytes(sockets[i].fd), std::move(states[i]));
     }
   }
+  if (settings_.memory != nullptr) {
+    CloseForUnreadBytes(std::move(unread));
+  }
+}
+
+// Requests that follow an unanswered one stay in the buffer of the socket. They
+// are counted here only, since most connections have none.
+void HttpServer::Impl::CloseForUnreadBytes(
+    std::vector<std::pair<size_t, StatePointer>> unread) {
+  size_t total = 0;
+  for (const auto& [bytes, state] : unread) {
+    total += bytes;
+  }
+  std::sort(unread.begin(), unread.end());
+  while (!unread.empty() &&
+         settings_.memory->used() + total > settings_.memory->limit()) {
+    total -= unread.back().first;
+    unread.back().second->HandleClientDisconnect();
+    unread.pop_back();
+    const std::lock_guard lock(mutex_);
+    ++counts_.connections_closed_for_unread_bytes;
+    LogCounts();
+  }
+}
+
+HttpServer::Impl::ConnectionRecord* HttpServer::Impl::ChooseToClose() const {
+  const auto now = std::chrono::steady_clock::now();
+  std::vector<HeldMemory> held;
+  std::vector<ConnectionRecord*> records;
+  held.reserve(connections_.size());
+  records.reserve(connections_.size());
+  for (const auto& it : connections_) {
+    if (!it->closing) {
+      held.push_back({it->phase, connection_memory_bytes() + it->body_bytes,
+                      absl::FromChrono(now - it->last_received)});
+      records.push_back(it.get());
+    }
+  }
+  const auto position = ChooseConnectionToClose(held);
+  return position.has_value() ? records[*position] : nullptr;
+}
+
+// libmicrohttpd frees the connection's own memory once it has noticed the
+// shutdown, in the next round of its event loop.
+void HttpServer::Impl::Close(ConnectionRecord& record, uint64_t& counter) {
+  if (record.body_owner != nullptr) {
+    std::string().swap(record.body_owner->request.body);
+  }
+  ReleaseBody(record);
+  if (settings_.memory != nullptr) {
+    settings_.memory->Release(connection_memory_bytes());
+  }
+  record.closing = true;
+  ++closing_connections_;
+  shutdown(record.fd, SHUT_RDWR);
+  ++counter;
+  LogCounts();
+}
+
+void HttpServer::Impl::CloseIfTooMany() {
+  if (connections_.size() - closing_connections_ <=
+      static_cast<size_t>(settings_.max_connections)) {
+    return;
+  }
+  if (ConnectionRecord* record = ChooseToClose()) {
+    Close(*record, counts_.connections_closed_for_number);
+  }
+}
+
+// Closes connections until there is room; false if that of `record` would be
+// next.
+bool HttpServer::Impl::ReserveMemory(const ConnectionRecord& record,
+                                     size_t bytes) {
+  while (!settings_.memory->TryReserve(bytes)) {
+    ConnectionRecord* other = ChooseToClose();
+    if (other == nullptr || other == &record) {
+      return false;
+    }
+    Close(*other, counts_.connections_closed_for_memory);
+  }
+  return true;
+}
+
+bool HttpServer::Impl::GrowBody(ConnectionRecord& record,
+                                std::string& body,
+                                size_t capacity) {
+  if (settings_.memory != nullptr && capacity > record.body_bytes) {
+    // The choice of a connection to close considers the new size.
+    const size_t before = std::exchange(record.body_bytes, capacity);
+    if (!ReserveMemory(record, capacity - before)) {
+      record.body_bytes = before;
+      return false;
+    }
+  }
+  body.reserve(capacity);
+  return true;
+}
+
+void HttpServer::Impl::ReleaseBody(ConnectionRecord& record) {
+  const size_t bytes = std::exchange(record.body_bytes, 0);
+  if (settings_.memory != nullptr) {
+    settings_.memory->Release(bytes);
+  }
+}
+
+void HttpServer::Impl::LogCounts() {
+  const auto now = std::chrono::steady_clock::now();
+  if (now - last_limit_log_ < kLimitLogInterval) {
+    return;
+  }
+  last_limit_log_ = now;
+  Log(LogLevel::kWarning, "clients exceed the limits",
+      {{"address", settings_.address},
+       {"requests_refused_for_memory",
+        absl::StrCat(counts_.requests_refused_for_memory)},
+       {"connections_closed_for_memory",
+        absl::StrCat(counts_.connections_closed_for_memory)},
+       {"connections_closed_for_number",
+        absl::StrCat(counts_.connections_closed_for_number)},
+       {"connections_closed_for_unread_bytes",
+        absl::StrCat(counts_.connections_closed_for_unread_bytes)},
+       {"connections_closed_for_time",
+        absl::StrCat(counts_.connections_closed_for_time)}});
 }
 
 void HttpServer::Impl::StopSweeper() {
@@ -535,15 +716,29 @@
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     record->fd = info->connect_fd;
     record->since = std::chrono::steady_clock::now();
-    *socket_context = record.get();
+    record->last_received = record->since;
+    ConnectionRecord& added = *record;
+    *socket_context = &added;
     const std::lock_guard lock(impl->mutex_);
     impl->connections_.insert(std::move(record));
     if (impl->connections_.size() == 1) {
       impl->sweeper_wakeup_.notify_one();
     }
+    impl->CloseIfTooMany();
+    if (impl->settings_.memory != nullptr && !added.closing &&
+        !impl->ReserveMemory(added, impl->connection_memory_bytes())) {
+      impl->settings_.memory->Reserve(impl->connection_memory_bytes());
+      impl->Close(added, impl->counts_.connections_closed_for_memory);
+    }
   } else {
+    auto* record = static_cast<ConnectionRecord*>(*socket_context);
     const std::lock_guard lock(impl->mutex_);
-    impl->connections_.erase(static_cast<ConnectionRecord*>(*socket_context));
+    if (record->closing) {
+      --impl->closing_connections_;
+    } else if (impl->settings_.memory != nullptr) {
+      impl->settings_.memory->Release(impl->connection_memory_bytes());
+    }
+    impl->connections_.erase(record);
   }
 }
 
@@ -619,14 +814,6 @@
   }
 }
 
-bool HttpServer::Impl::DeclaresTooLargeBody(MHD_Connection* connection) const {
-  const char* value = MHD_lookup_connection_value(
-      connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
-  uint64_t length = 0;
-  return value != nullptr && absl::SimpleAtoi(value, &length) &&
-         length > settings_.max_body_bytes;
-}
-
 // libmicrohttpd closes the connection after a response that is queued before
 // the body is read.
 MHD_Result HttpServer::Impl::RejectTooLarge(MHD_Connection* connection,
@@ -636,6 +823,14 @@
       connection, ErrorResponse(status, ErrorCode::kTooLarge, detail), true);
 }
 
+MHD_Result HttpServer::Impl::RefuseForMemory(MHD_Connection* connection) {
+  HttpResponse response =
+      ErrorResponse(MHD_HTTP_SERVICE_UNAVAILABLE, ErrorCode::kOverloaded,
+                    "the memory for requests is in use");
+  response.headers.emplace_back(MHD_HTTP_HEADER_RETRY_AFTER, "1");
+  return QueueResponse(connection, std::move(response), true);
+}
+
 MHD_Result HttpServer::Impl::OnHeader(MHD_Connection* connection,
                                       const char* url,
                                       const char* method,
@@ -658,26 +853,59 @@
     return RejectTooLarge(connection, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
                           "the request header exceeds the limit");
   }
-  if (DeclaresTooLargeBody(connection)) {
+  const uint64_t declared_bytes = DeclaredBodyBytes(connection);
+  if (declared_bytes > settings_.max_body_bytes) {
     return RejectTooLarge(connection, MHD_HTTP_CONTENT_TOO_LARGE,
                           "the request body exceeds the limit");
   }
   FillRequest(connection, state->request);
-  return MHD_YES;
+  {
+    const std::lock_guard lock(mutex_);
+    ConnectionRecord* record = GetRecord(connection);
+    if (record == nullptr || record->closing) {
+      return MHD_NO;
+    }
+    record->phase = HeldMemory::Phase::kBody;
+    record->body_owner = state.get();
+    record->last_received = std::chrono::steady_clock::now();
+    if (GrowBody(*record, state->request.body, declared_bytes)) {
+      return MHD_YES;
+    }
+    ++counts_.requests_refused_for_memory;
+    LogCounts();
+  }
+  return RefuseForMemory(connection);
 }
 
-MHD_Result HttpServer::Impl::OnBody(HttpRequestState& state,
+MHD_Result HttpServer::Impl::OnBody(MHD_Connection* connection,
+                                    HttpRequestState& state,
                                     const char* data,
-                                    size_t* size) const {
+                                    size_t* size) {
+  const std::lock_guard lock(mutex_);
+  ConnectionRecord* record = GetRecord(connection);
+  if (record == nullptr || record->closing) {
+    return MHD_NO;
+  }
+  record->last_received = std::chrono::steady_clock::now();
   state.received_bytes += *size;
+  std::string& body = state.request.body;
   if (state.received_bytes > settings_.max_body_bytes) {
     state.too_large = true;
-    state.request.body = {};
+    std::string().swap(body);
+    ReleaseBody(*record);
     if (state.received_bytes > kDiscardFactor * settings_.max_body_bytes) {
       return MHD_NO;
     }
   } else {
-    state.request.body.append(data, *size);
+    if (state.received_bytes > body.capacity() &&
+        !GrowBody(*record, body,
+                  std::min(std::max({kMinBodyBuffer, 2 * body.capacity(),
+                                     state.received_bytes}),
+                           settings_.max_body_bytes))) {
+      Close(*record, counts_.connections_closed_for_memory);
+      return MHD_NO;
+    }
+    body.append(data, *size);
   }
   *size = 0;
   return MHD_YES;
@@ -698,7 +926,12 @@
       const std::lock_guard lock(mutex_);
       rejecting = rejecting_requests_;
       if (ConnectionRecord* record = GetRecord(connection)) {
+        if (record->closing) {
+          return MHD_NO;
+        }
         record->receiving = false;
+        record->phase = HeldMemory::Phase::kWaiting;
+        record->body_owner = nullptr;
       }
     }
     if (settings_.client_check_interval > absl::ZeroDuration() &&
@@ -719,6 +952,14 @@
   if (!state->IsAnsweredOrSuspend()) {
     return MHD_YES;
   }
+  {
+    // A client that does not read its response may be closed for others.
+    const std::lock_guard lock(mutex_);
+    if (ConnectionRecord* record = GetRecord(connection)) {
+      record->phase = HeldMemory::Phase::kIdle;
+      record->last_received = std::chrono::steady_clock::now();
+    }
+  }
   return state->close_without_response()
              ? MHD_NO
              : QueueResponse(connection, state->TakeResponse(),
@@ -739,7 +980,7 @@
   }
   const StatePointer state = *static_cast<StatePointer*>(*context);
   if (*upload_data_size > 0) {
-    return impl->OnBody(*state, upload_data, upload_data_size);
+    return impl->OnBody(connection, *state, upload_data, upload_data_size);
   }
   return impl->OnRequestEnd(connection, state);
 }
@@ -761,6 +1002,10 @@
   if (ConnectionRecord* record = GetRecord(connection)) {
     record->receiving = true;
     record->since = std::chrono::steady_clock::now();
+    record->last_received = record->since;
+    record->phase = HeldMemory::Phase::kIdle;
+    record->body_owner = nullptr;
+    impl->ReleaseBody(*record);
   }
   if (impl->stopping_) {
     impl->requests_changed_.notify_all();
@@ -791,6 +1036,10 @@
   return impl_->requests_in_progress();
 }
 
+HttpLimitCounts HttpServer::limit_counts() const {
+  return impl_->limit_counts();
+}
+
 void HttpServer::CloseAfterResponses() {
   impl_->CloseAfterResponses();
 }
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -80,6 +80,8 @@
         1000000, false,
         "processor cores of this VM, with `--platform`; larger VMs are "
         "preferred as owners of pools"},
+    Key{"daemon", "memory_mb", Type::kInteger, &Settings::memory_mb, 16,
+        1048576, false, "memory of this VM, in MiB"},
     Key{"daemon", "caller_address", Type::kAddress, &Settings::caller_address,
         0, 0, false, "listener for callers"},
     Key{"daemon", "operator_address", Type::kAddress,
@@ -127,6 +129,9 @@
         "time for the load balancer to notice that the daemon is not ready"},
     Key{"drain", "timeout", Type::kDuration, &Settings::drain_timeout, 1000,
         600000, false, "longest wait for requests in progress"},
+    Key{"requests", "client_memory_mb", Type::kInteger,
+        &Settings::client_memory_mb, 0, 1048576, false,
+        "memory that clients may occupy, in MiB; 0: a quarter of `memory_mb`"},
     Key{"requests", "max_body_bytes", Type::kBytes, &Settings::max_body_bytes,
         1024, 4 * 1024 * 1024, false, "largest request body"},
     Key{"requests", "max_connections", Type::kInteger,
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -200,6 +200,81 @@
   EXPECT_TRUE(deferred_.empty());
 }
 
+// Guards against refusals of ordinary requests while others hold the memory,
+// and against refusals that do not tell clients that nothing ran.
+TEST_F(HttpTest, Memory_HeldByUnfinishedBodies_LargestIsRefusedOrClosed) {
+  constexpr size_t kConnectionBytes = 32 * 1024;
+  settings_.memory =
+      std::make_shared<MemoryBudget>(3 * kConnectionBytes + kMaxBody);
+  Serve([](const HttpRequest& request, const HttpResponder& respond) {
+    respond(WithBody(std::to_string(request.body.size())));
+  });
+  const std::string header =
+      absl::StrCat("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ", kMaxBody,
+                   "\r\nExpect: 100-continue\r\n\r\n");
+  auto held = RawConnection::To(server_->address());
+  held.Write(header);
+  EXPECT_TRUE(held.ReadUntil("\r\n\r\n").starts_with("HTTP/1.1 100 "));
+  // The body that is held has the same size and has been silent for longer.
+  auto second = RawConnection::To(server_->address());
+  second.Write(header);
+  EXPECT_TRUE(second.ReadUntil("\r\n\r\n").starts_with("HTTP/1.1 100 "));
+  EXPECT_EQ(held.ReadUntilClosed(), "");
+  EXPECT_EQ(Send(Request("POST", "small")).body, "5");
+  second.Close();
+  EXPECT_EQ(server_->limit_counts().connections_closed_for_memory, 1u);
+}
+
+TEST_F(HttpTest, Memory_TooSmallForBody_Answers503WithRetryAfter) {
+  settings_.memory = std::make_shared<MemoryBudget>(kMaxBody);
+  ServeDeferred();
+  auto raw = RawConnection::To(server_->address());
+  raw.Write(absl::StrCat(
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ", kMaxBody, "\r\n\r\n"));
+  const std::string answer = raw.ReadUntilClosed();
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+  EXPECT_TRUE(absl::StrContains(answer, "Retry-After: 1\r\n")) << answer;
+  EXPECT_TRUE(deferred_.empty());
+  EXPECT_EQ(server_->limit_counts().requests_refused_for_memory, 1u);
+}
+
+// Guards against memory that stays reserved after its connections.
+TEST_F(HttpTest, Memory_AfterAllConnectionsClosed_IsReleased) {
+  settings_.memory = std::make_shared<MemoryBudget>(4 * kMaxBody);
+  ServeDeferred();
+  auto waiting = RawConnection::To(server_->address());
+  waiting.Write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody");
+  WaitForRequest()(WithBody("ok"));
+  waiting.ReadUntil("ok");
+  auto chunked = RawConnection::To(server_->address());
+  chunked.Write(
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "4\r\nbody\r\n");
+  waiting.Close();
+  chunked.Close();
+  EXPECT_GT(settings_.memory->peak(), 0u);
+  server_.reset();
+  EXPECT_EQ(settings_.memory->used(), 0u);
+}
+
+// Guards against clients that take all connections and leave none to others.
+TEST_F(HttpTest, Connections_BeyondLimit_ReplaceTheLongestIdle) {
+  settings_.max_connections = 2;
+  Serve([](const HttpRequest&, const HttpResponder& respond) {
+    respond(WithBody("ok"));
+  });
+  auto first = RawConnection::To(server_->address());
+  first.Write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  first.ReadUntil("ok");
+  auto second = RawConnection::To(server_->address());
+  second.Write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  second.ReadUntil("ok");
+  EXPECT_EQ(Send(Request()).body, "ok");
+  EXPECT_EQ(first.ReadUntilClosed(), "");
+  second.Write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  EXPECT_TRUE(absl::StrContains(second.ReadUntil("ok"), "200"));
+}
+
 // Guards against clients that hold connections with incomplete requests.
 TEST_F(HttpTest, SlowWriter_IdleInHeader_IsClosedAndOthersAreServed) {
   settings_.idle_timeout = absl::Seconds(1);
