--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -641,7 +641,7 @@
   std::vector<pollfd> sockets;
   std::vector<ConnectionRecord*> records;
   for (const auto& it : connections_) {
-    if (!it->closing && it->phase != HeldMemory::Phase::kWaiting &&
+    if (!it->closing && it->receiving &&
         now - it->last_received >= kClosedClientInterval) {
       sockets.push_back({it->fd, POLLRDHUP, 0});
       records.push_back(it.get());
