Offer jobs to the failure domain of their data where that pays

Cause: the entry daemon chose the pool of a job without regard to the rack of its data, so the owner could only place it far. Change: a pool that lacks the rack counts as slower by the longer run of the job's longest task; racks come from the runners' rows that each daemon reads anyway. Off unless the settings name a factor above 1.

--- a/include/radishrail/pool_node.h
+++ b/include/radishrail/pool_node.h
@@ -51,6 +51,9 @@
   std::string failure_domain;
   std::string peer_address;
   uint32_t cpu_millicores = 1000;  // processor share of this VM
+  // Run time of a task off its preferred rack as a multiple of that on it; 1:
+  // racks are ignored.
+  double remote_run_factor = 1;
   LeaseSettings lease;
   // Longest time that one watch call waits for a change in the store. A call
   // that is lost in an unresponsive store or connection is noticed only when it
--- a/include/radishrail/pool_router.h
+++ b/include/radishrail/pool_router.h
@@ -81,6 +81,13 @@
   void SetEvacuated(std::set<std::string> domains) {
     evacuated_ = std::move(domains);
   }
+  // `domains`: the failure domain of each rack. A task runs `remote_run_factor`
+  // times as long off its preferred rack.
+  void SetRacks(absl::flat_hash_map<std::string, std::string> domains,
+                double remote_run_factor) {
+    domain_of_rack_ = std::move(domains);
+    remote_run_factor_ = remote_run_factor;
+  }
   // Fails jobs whose owner is unresponsive or replaced, or whose deadline has
   // passed.
   void Tick();
@@ -126,6 +133,9 @@
   bool HasUntriedPool(const Offer& offer) const;
   // Limits the promised time of a refused job to the rest of it.
   void ReducePromise(Offer& offer, const std::string& pool) const;
+  // How much longer the job takes in the pool since the preferred racks of its
+  // tasks are elsewhere.
+  absl::Duration RackPenalty(const Offer& offer, const std::string& pool) const;
   absl::Duration SilencePenalty(const std::string& pool,
                                 const PoolLoad& load) const;
   // Answer to a job that no pool can be offered.
@@ -168,6 +178,8 @@
   // Peers at which jobs were given up, and until when they are told so.
   absl::flat_hash_map<std::string, absl::Time> given_up_until_;
   PoolView view_;
+  absl::flat_hash_map<std::string, std::string> domain_of_rack_;
+  double remote_run_factor_ = 1;
   std::set<std::string> evacuated_;
   std::unique_ptr<internal::RetrySchedule> retries_;
 };
--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -1122,9 +1122,13 @@
     std::set<std::string> pools = {settings_.failure_domain};
     std::map<std::string, int> runners_to_use = UsableRunners();
     std::vector<LeasedUpstreamClient::OwnedRunner> owned;
+    absl::flat_hash_map<std::string, std::string> domain_of_rack;
     for (const auto& [key, runner] : runners_.runners()) {
       const std::string& pool = runner.info.failure_domain;
       pools.insert(pool);
+      if (settings_.remote_run_factor > 1 && !runner.info.rack.empty()) {
+        domain_of_rack[runner.info.rack] = pool;
+      }
       const uint64_t fence = ownership_.OwnedFence(pool);
       if (fence != 0) {
         owned.push_back({runner.info, fence,
@@ -1135,6 +1139,7 @@
     }
     ownership_.SetPools({pools.begin(), pools.end()});
     dispatcher_.SetRunners(std::move(owned));
+    router_.SetRacks(std::move(domain_of_rack), settings_.remote_run_factor);
   }
 
   // Number of runners that may get tasks, by failure domain.
--- a/src/pool_router.cc
+++ b/src/pool_router.cc
@@ -124,7 +124,8 @@
     if (offer.overloaded && !view_.MayFit(name, offer.demand, now)) {
       continue;
     }
-    candidates.push_back({name, SilencePenalty(name, *load)});
+    candidates.push_back(
+        {name, SilencePenalty(name, *load) + RackPenalty(offer, name)});
   }
   const auto pool = view_.Choose(candidates, offer.demand, now);
   const PoolClaim* owner = pool.has_value() ? ownership_.Owner(*pool) : nullptr;
@@ -140,6 +141,19 @@
              : age;
 }
 
+// A job ends with its last task.
+absl::Duration PoolRouter::RackPenalty(const Offer& offer,
+                                       const std::string& pool) const {
+  absl::Duration longest = absl::ZeroDuration();
+  for (const auto& it : offer.job.tasks) {
+    const auto domain = domain_of_rack_.find(it.preferred_rack);
+    if (domain != domain_of_rack_.end() && domain->second != pool) {
+      longest = std::max(longest, it.declared_run);
+    }
+  }
+  return longest * (remote_run_factor_ - 1);
+}
+
 uint64_t PoolRouter::Submit(JobSpec job,
                             const RoutedDocument& route,
                             AnswerCallback callback) {
--- a/tests/pool_router_test.cc
+++ b/tests/pool_router_test.cc
@@ -67,13 +67,15 @@
     reply.room = room;
     router_.OnReply(reply);
   }
-  void Submit() {
+  void Submit(const std::string& rack = "") {
     JobSpec job;
     // A submission of a job in progress would join it.
     last_key_ = absl::StrCat("job", next_job_++);
     job.key = last_key_;
     job.deadline = kDeadline;
     job.tasks.resize(1);
+    job.tasks[0].preferred_rack = rack;
+    job.tasks[0].declared_run = absl::Milliseconds(200);
     router_.Submit(std::move(job), route_,
                    [this](const JobAnswer& answer) { last_ = answer; });
   }
@@ -208,6 +210,25 @@
   EXPECT_FALSE(router_.Withdraw(last_key_));
 }
 
+// Guards against a job that runs longer off its rack although that has room,
+// and against one whose rack is unknown.
+TEST_F(PoolRouterTest, Submit_DataOnRackOfOtherDomain_IsOfferedThere) {
+  ReceiveClaim("d1");
+  ReceiveClaim("d2");
+  router_.SetRacks({{"rack-1", "d1"}, {"rack-2", "d2"}},
+                   /*remote_run_factor=*/2);
+  for (const auto& [rack, pool] :
+       {std::pair<const char*, const char*>{"rack-1", "d1"},
+        {"rack-2", "d2"},
+        {"no such rack", "d1"},
+        {"", "d1"}}) {
+    Submit(rack);
+    EXPECT_EQ(std::get<PoolJobRequest>(transport_.sent.back().second).pool,
+              pool)
+        << rack;
+  }
+}
+
 // Guards against a job that is offered to an evacuated failure domain, and
 // against a refusal without a reason and a time to come back.
 TEST_F(PoolRouterTest, Submit_OnlyEvacuatedPools_IsRefusedWithRetryTime) {
