--- a/src/leased_upstream_client.cc
+++ b/src/leased_upstream_client.cc
@@ -1029,9 +1029,10 @@
   for (const auto& [vm, runner] : former) {
     const auto at_address = new_runners.find(runner->info.address);
     if (at_address != new_runners.end() &&
-        std::any_of(
-            at_address->second.begin(), at_address->second.end(),
-            [&](const VmInfo* it) { return IsSuccessor(*it, runner->info); })) {
+        std::any_of(at_address->second.begin(), at_address->second.end(),
+                    [&info = runner->info](const VmInfo* it) {
+                      return IsSuccessor(*it, info);
+                    })) {
       ReportCrash(*runner);
     }
   }
