Look up a running task in one place, and drop a condition that always holds

Cause: Requeue and Finish of the scheduler each looked up the running task; AdmissionShares tested for scarcity again after it had returned without. Change: FindRunning serves both; behaviour is unchanged.

--- a/src/admission_shares.cc
+++ b/src/admission_shares.cc
@@ -157,9 +157,8 @@
                         : 0;
   if (!wide) {
     Kind& kind = FindKind(group.kind);
-    const bool lags =
-        scarce_ && KeptShare(kind, true, now_s) <
-                       kWideTarget * KeptShare(kind, false, now_s);
+    const bool lags = KeptShare(kind, true, now_s) <
+                      kWideTarget * KeptShare(kind, false, now_s);
     kind.narrow_headroom = std::clamp(
         kind.narrow_headroom + (lags ? kHeadroomStep : -kHeadroomStep), 0.0,
         kMaxNarrowHeadroom);
--- a/src/policy_placement.cc
+++ b/src/policy_placement.cc
@@ -209,19 +209,29 @@
   kinds_.OnEnded(task->kind, task->slots, run_s);
 }
 
-void PolicyScheduler::Impl::Requeue(TaskRef ref,
-                                    absl::Time not_before,
-                                    std::optional<UpstreamId> avoid) {
+std::optional<PolicyScheduler::Impl::JobIndex>
+PolicyScheduler::Impl::FindRunning(TaskRef ref) const {
   const auto it = job_ids_.find(ref.job);
   if (it == job_ids_.end()) {
-    return;
+    return std::nullopt;
   }
-  const JobIndex index = it->second;
-  Job& job = jobs_[index];
+  const Job& job = jobs_[it->second];
   if (ref.task >= job.tasks.size() ||
       job.tasks[ref.task].state != TaskState::kRunning) {
+    return std::nullopt;
+  }
+  return it->second;
+}
+
+void PolicyScheduler::Impl::Requeue(TaskRef ref,
+                                    absl::Time not_before,
+                                    std::optional<UpstreamId> avoid) {
+  const auto running = FindRunning(ref);
+  if (!running.has_value()) {
     return;
   }
+  const JobIndex index = *running;
+  Job& job = jobs_[index];
   const double now = Now();
   Task& task = job.tasks[ref.task];
   ReleaseSlots(&job, &task, -1);
@@ -243,16 +253,12 @@
 
 void PolicyScheduler::Impl::Finish(TaskRef ref,
                                    std::optional<absl::Duration> run_time) {
-  const auto it = job_ids_.find(ref.job);
-  if (it == job_ids_.end()) {
+  const auto running = FindRunning(ref);
+  if (!running.has_value()) {
     return;
   }
-  const JobIndex index = it->second;
+  const JobIndex index = *running;
   Job& job = jobs_[index];
-  if (ref.task >= job.tasks.size() ||
-      job.tasks[ref.task].state != TaskState::kRunning) {
-    return;
-  }
   Task& task = job.tasks[ref.task];
   const double run_s = run_time
                            ? absl::ToDoubleSeconds(*run_time) *
--- a/src/policy_scheduler_impl.h
+++ b/src/policy_scheduler_impl.h
@@ -368,6 +368,8 @@
   }
   void Enqueue(JobIndex index, uint32_t task, bool is_long);
   void Delay(JobIndex index, uint32_t task, double due);
+  // The job of a running task; nullopt if the task is not running.
+  std::optional<JobIndex> FindRunning(TaskRef ref) const;
   void ReleaseSlots(Job* job, Task* task, double run_s);
   void FreeIfEnded(JobIndex index);
 
