Report the load of the own pool also without peers

What callers saw: a daemon that never had a peer answered every job with 503, "no pool has a live owner that accepts jobs". Cause: the router learned the load of the daemon's own pool only beside the status messages to peers. Without a peer none is due, and a pool whose load is unknown gets no jobs. Change: the owner of a pool tells its router the load every 100 ms, whether or not a status is due to a peer. The choice of the peers is a function of its own. With peers a status is due every 100 ms, so nothing more is computed. The crowd of client_crowd_test moves to a header without a change.

--- a/src/pool_node.cc
+++ b/src/pool_node.cc
@@ -539,7 +539,7 @@
   // Owners send their status to all daemons. Others send it to owners, at a
   // shorter interval to those that run their jobs, and once per connection to
   // each peer, which learns of them this way.
-  void SendStatus(absl::Time now) {
+  std::vector<std::string> PeersDueForStatus(absl::Time now) {
     std::vector<std::string> due;
     const bool owner = OwnsAnyPool();
     const std::set<std::string> owners = OwnerAddresses();
@@ -567,9 +567,18 @@
                 ->first);
       }
     }
-    if (due.empty()) {
+    return due;
+  }
+
+  // The router gets the load of the own pools here, also without peers.
+  void SendStatus(absl::Time now) {
+    const std::vector<std::string> due = PeersDueForStatus(now);
+    const bool own_load_due =
+        OwnsAnyPool() && now - own_load_reported_at_ >= kStatusInterval;
+    if (due.empty() && !own_load_due) {
       return;
     }
+    own_load_reported_at_ = now;
     PoolStatus status = MakeStatus();
     for (const auto& it : due) {
       status.oldest_request = router_.OldestRequestAt(it);
@@ -1462,6 +1471,7 @@
   internal::ForwardedJobs forwarded_;
   absl::Time next_pull_ = absl::InfinitePast();
   absl::Time gossip_due_ = absl::InfinitePast();
+  absl::Time own_load_reported_at_ = absl::InfinitePast();
   std::optional<absl::Time> drain_started_;
   bool handing_over_ = false;
   // Pools that are returned to their failure domain, with the time of release.
--- a/tests/client_crowd_test.cc
+++ b/tests/client_crowd_test.cc
@@ -3,12 +3,10 @@
 // daemon that runs out of memory, ends, or serves no one else meanwhile.
 
 #include <fcntl.h>
-#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
-#include <cerrno>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -27,6 +25,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
+#include "client_crowd.h"
 #include "gtest/gtest.h"
 #include "radishrail/clock.h"
 #include "socket_address.h"
@@ -51,8 +50,6 @@
 constexpr int kDescriptorSlack = 32;
 // Bytes that one connection sends before the next one is served.
 constexpr size_t kPieceBytes = 4096;
-// Pause without progress of any connection, after which a crowd is complete.
-constexpr int kCrowdIdleMs = 1000;
 constexpr absl::Duration kTickInterval = absl::Milliseconds(10);
 
 // A port below those that the system gives to outgoing connections, which could
@@ -110,68 +107,6 @@
                 kMaxBodyBytes / chunk_bytes);
 }
 
-// Connections that send one text each, in turn, and then stay open.
-class Crowd {
- public:
-  Crowd(const std::string& address, int size, std::string text)
-      : text_(std::move(text)) {
-    const auto parsed = internal::ParseSocketAddress(address, nullptr);
-    for (int i = 0; i < size; ++i) {
-      Member it;
-      it.fd = internal::FileDescriptor(
-          socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-      if (connect(it.fd.get(), parsed->get(), parsed->size) == 0 ||
-          errno == EINPROGRESS) {
-        members_.push_back(std::move(it));
-      }
-    }
-  }
-
-  // Sends until all texts are sent or their connections closed, or until no
-  // connection takes more.
-  void Send(size_t piece_bytes) {
-    while (true) {
-      std::vector<pollfd> sockets;
-      std::vector<Member*> open;
-      for (auto& it : members_) {
-        if (it.fd.valid() && it.sent < text_.size()) {
-          sockets.push_back({it.fd.get(), POLLOUT, 0});
-          open.push_back(&it);
-        }
-      }
-      if (sockets.empty() ||
-          poll(sockets.data(), sockets.size(), kCrowdIdleMs) <= 0) {
-        return;
-      }
-      for (size_t i = 0; i < sockets.size(); ++i) {
-        if (sockets[i].revents != 0) {
-          SendPiece(*open[i], piece_bytes);
-        }
-      }
-    }
-  }
-
- private:
-  struct Member {
-    internal::FileDescriptor fd;
-    size_t sent = 0;
-  };
-
-  void SendPiece(Member& member, size_t piece_bytes) {
-    const size_t n = std::min(piece_bytes, text_.size() - member.sent);
-    const ssize_t sent = send(member.fd.get(), text_.data() + member.sent, n,
-                              MSG_NOSIGNAL | MSG_DONTWAIT);
-    if (sent > 0) {
-      member.sent += static_cast<size_t>(sent);
-    } else if (errno != EAGAIN) {
-      member.fd.Reset();
-    }
-  }
-
-  const std::string text_;
-  std::vector<Member> members_;
-};
-
 class ClientCrowdTest : public testing::Test {
  protected:
   ClientCrowdTest()
@@ -217,7 +152,9 @@
       Tick(0);
     });
     StartDaemon(0);
-    StartDaemon(1);
+    if (has_peer()) {
+      StartDaemon(1);
+    }
     ASSERT_TRUE(OrdinaryRequestIsAnswered());
     descriptors_before_ = CountDescriptors();
     memory_before_kb_ = ReadStatusKb("VmHWM:");
@@ -225,8 +162,9 @@
     ASSERT_GT(memory_in_use_before_kb_, 0);
   }
 
-  // Starts daemon 0, which gets the crowds, or its peer: a daemon without peers
-  // reports no load to itself and so offers its own pool no jobs.
+  virtual bool has_peer() const { return true; }
+
+  // Starts daemon 0, which gets the crowds, or its peer.
   void StartDaemon(int i) {
     const auto address = [] { return absl::StrCat("127.0.0.1:", FreePort()); };
     const std::array<std::string, 4> addresses = {address(), address(),
@@ -510,5 +448,16 @@
               kPieceBytes);
 }
 
+// A daemon that has never had a peer.
+class SingleDaemonCrowdTest : public ClientCrowdTest {
+ protected:
+  bool has_peer() const override { return false; }
+};
+
+// Guards against a daemon that serves nobody without a peer.
+TEST_F(SingleDaemonCrowdTest, WholeBodies_WithoutLastByte_StayWithinBounds) {
+  HoldCrowd(UnfinishedBody(), kMaxBodyBytes);
+}
+
 }  // namespace
 }  // namespace radishrail
