Stop an HTTP server without quiescing libmicrohttpd

What callers saw: a process that stopped one of its servers could end by itself, "Failed to remove listen FD from epoll set". Cause: MHD_quiesce_daemon and a thread of the library may both remove the listening socket from an epoll set; the second one aborts the process. Change: HttpServer::Stop does not call it. New connections are closed as they are accepted; before, they hung until the server had stopped, and were reset then. Why it works: only the library's own threads change the epoll set until MHD_stop_daemon has joined them.

--- a/include/radishrail/http_server.h
+++ b/include/radishrail/http_server.h
@@ -125,8 +125,8 @@
   // connections, which the load balancer routes to other daemons.
   void CloseAfterResponses();
 
-  // Closes the listening socket, waits for requests in progress and closes all
-  // connections. Requests that are not answered within `timeout` get
+  // Closes new connections at once, waits for requests in progress and closes
+  // all connections. Requests that are not answered within `timeout` get
   // `HttpServerSettings::unfinished_status`. Returns true if there were none.
   // Must not be called on a thread of the server.
   bool Stop(absl::Duration timeout);
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -370,6 +370,10 @@
                           void** context,
                           MHD_RequestTerminationCode code);
 
+  // Refuses connections once the server stops.
+  static MHD_Result OnAccept(void* self,
+                             const sockaddr* client,
+                             socklen_t size);
   static void OnConnection(void* self,
                            MHD_Connection* connection,
                            void** socket_context,
@@ -482,7 +486,7 @@
   daemon_ =
       MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD |
                            MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG,
-                       0, nullptr, nullptr, &Impl::OnAccess, this,
+                       0, &Impl::OnAccept, this, &Impl::OnAccess, this,
                        MHD_OPTION_EXTERNAL_LOGGER, &LogLibraryMessage, nullptr,
                        MHD_OPTION_NOTIFY_COMPLETED, &Impl::OnCompleted, this,
                        MHD_OPTION_NOTIFY_CONNECTION, &Impl::OnConnection, this,
@@ -743,6 +747,17 @@
                          : static_cast<ConnectionRecord*>(info->socket_context);
 }
 
+// `MHD_quiesce_daemon` is not used: it and a thread of the library may both
+// remove the listening socket from an epoll set, and the second one then aborts
+// the process.
+MHD_Result HttpServer::Impl::OnAccept(void* self,
+                                      const sockaddr* /*client*/,
+                                      socklen_t /*size*/) {
+  auto* impl = static_cast<Impl*>(self);
+  const std::lock_guard lock(impl->mutex_);
+  return impl->stopping_ ? MHD_NO : MHD_YES;
+}
+
 // libmicrohttpd reports the end of a connection before it closes the socket, so
 // the sweeper never shuts down a file descriptor that was reused.
 void HttpServer::Impl::OnConnection(void* self,
@@ -803,7 +818,6 @@
   if (daemon_ == nullptr) {
     return true;
   }
-  const internal::FileDescriptor listener(MHD_quiesce_daemon(daemon_));
   {
     const std::lock_guard lock(mutex_);
     stopping_ = true;
