Bound what the kernel holds of callers' connections

What callers saw: nothing yet; a crowd that sends request after request and reads no answer took a VM beyond its memory, of which the bytes that were received and not read are a part. Cause: the kernel's buffers of a connection grow by themselves to some MB. Unread bytes were counted every 100 ms only, and unsent answers not at all. Change: both buffers of each caller's connection have a fixed size, [requests] socket_buffer_bytes, 16 KiB by default. It refuses nothing: it slows down bodies that are larger. Why it works: the connections that the memory budget allows times the size of their buffers fit into the rest of the VM's memory.

--- a/include/radishrail/http_server.h
+++ b/include/radishrail/http_server.h
@@ -73,6 +73,9 @@
   // Shared by the servers of a process; null: no limit. Without room, a request
   // gets status 503 or a connection is closed, see `ChooseConnectionToClose`.
   std::shared_ptr<MemoryBudget> memory;
+  // Of the kernel's receive buffer and of its send buffer of each connection;
+  // 0: the system's sizes, which grow with the traffic.
+  int socket_buffer_bytes = 0;
   size_t max_body_bytes = 4 * 1024 * 1024;
   size_t max_header_bytes = 16 * 1024;
   // Connections without traffic are closed after this time; whole seconds.
--- a/include/radishrail/settings.h
+++ b/include/radishrail/settings.h
@@ -56,6 +56,7 @@
 
   // [requests]
   size_t client_memory_mb = 0;  // 0: a share of `memory_mb`
+  int socket_buffer_bytes = 16 * 1024;
   size_t max_body_bytes = 4 * 1024 * 1024;
   int max_connections = 4096;
   absl::Duration idle_timeout = absl::Seconds(10);
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -49,6 +49,7 @@
   server.address = settings.caller_address;
   server.threads = settings.caller_threads;
   server.max_connections = settings.max_connections;
+  server.socket_buffer_bytes = settings.socket_buffer_bytes;
   server.max_body_bytes = settings.max_body_bytes;
   server.idle_timeout = settings.idle_timeout;
   // For jobs that are unfinished when the server stops: they may have run, and
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -462,7 +462,8 @@
 };
 
 bool HttpServer::Impl::Start(Error* error) {
-  auto listener = internal::ListenOn(settings_.address, &port_, error);
+  auto listener = internal::ListenOn(settings_.address, &port_, error,
+                                     settings_.socket_buffer_bytes);
   if (!listener) {
     return false;
   }
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -132,6 +132,10 @@
     Key{"requests", "client_memory_mb", Type::kInteger,
         &Settings::client_memory_mb, 0, 1048576, false,
         "memory that clients may occupy, in MiB; 0: a quarter of `memory_mb`"},
+    Key{"requests", "socket_buffer_bytes", Type::kInteger,
+        &Settings::socket_buffer_bytes, 4096, 4 * 1024 * 1024, false,
+        "receive and send buffer of each caller's connection in the kernel, "
+        "which may hold twice as much"},
     Key{"requests", "max_body_bytes", Type::kBytes, &Settings::max_body_bytes,
         1024, 4 * 1024 * 1024, false, "largest request body"},
     Key{"requests", "max_connections", Type::kInteger,
--- a/src/socket_address.cc
+++ b/src/socket_address.cc
@@ -117,7 +117,8 @@
 
 std::optional<FileDescriptor> ListenOn(std::string_view address,
                                        uint16_t* port,
-                                       Error* error) {
+                                       Error* error,
+                                       int buffer_bytes) {
   auto parsed = ParseSocketAddress(address, error);
   if (!parsed) {
     return std::nullopt;
@@ -133,6 +134,12 @@
   }
   const int on = 1;
   setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  if (buffer_bytes > 0) {
+    for (const int option : {SO_RCVBUF, SO_SNDBUF}) {
+      setsockopt(fd.get(), SOL_SOCKET, option, &buffer_bytes,
+                 sizeof(buffer_bytes));
+    }
+  }
   if (bind(fd.get(), parsed->get(), parsed->size) != 0) {
     return fail("bind");
   }
--- a/src/socket_address.h
+++ b/src/socket_address.h
@@ -54,9 +54,12 @@
 };
 
 // Opens a non-blocking listening socket and stores the bound port in `port`.
+// `buffer_bytes`: size of the receive and of the send buffer of each connection
+// that it accepts; 0: the system's, which grow with the traffic.
 std::optional<FileDescriptor> ListenOn(std::string_view address,
                                        uint16_t* port,
-                                       Error* error);
+                                       Error* error,
+                                       int buffer_bytes = 0);
 
 }  // namespace radishrail::internal
 
--- a/tests/client_crowd.h
+++ b/tests/client_crowd.h
@@ -6,24 +6,86 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cstdint>
+#include <fstream>
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
 #include "socket_address.h"
 
 namespace radishrail {
 
+// Bytes in the queues of sockets.
+struct SocketQueues {
+  int64_t unread = 0;  // received, not read by the process
+  int64_t unsent = 0;  // written by the process, not acknowledged
+};
+
+// The queues of all open connections whose local port is that of `address`, as
+// the kernel reports them.
+inline SocketQueues ReadSocketQueues(const std::string& address) {
+  const std::string kEstablished = "01";
+  const std::string kCloseWait = "08";
+  int port = 0;
+  if (!absl::SimpleAtoi(address.substr(address.rfind(':') + 1), &port)) {
+    return {};
+  }
+  const std::string suffix =
+      absl::StrCat(":", absl::Hex(port, absl::kZeroPad4));
+  std::ifstream table("/proc/net/tcp");
+  std::string line;
+  SocketQueues queues;
+  while (std::getline(table, line)) {
+    const std::vector<std::string> fields =
+        absl::StrSplit(line, ' ', absl::SkipEmpty());
+    constexpr size_t kLocalAddress = 1;
+    constexpr size_t kState = 3;
+    constexpr size_t kQueues = 4;
+    if (fields.size() <= kQueues ||
+        !absl::EndsWithIgnoreCase(fields[kLocalAddress], suffix) ||
+        (fields[kState] != kEstablished && fields[kState] != kCloseWait)) {
+      continue;
+    }
+    const std::vector<std::string> sizes = absl::StrSplit(fields[kQueues], ':');
+    int64_t unsent = 0;
+    int64_t unread = 0;
+    if (sizes.size() == 2 && absl::SimpleHexAtoi(sizes[0], &unsent) &&
+        absl::SimpleHexAtoi(sizes[1], &unread)) {
+      queues.unsent += unsent;
+      queues.unread += unread;
+    }
+  }
+  return queues;
+}
+
 // Connections that send one text each, in turn, and then stay open.
 class Crowd {
  public:
-  Crowd(const std::string& address, int size, std::string text)
+  // Called between pieces, for example to measure.
+  using OnProgress = std::function<void()>;
+
+  // `receive_buffer`: size of the buffers for answers, which the crowd does not
+  // read; 0: that of the system.
+  Crowd(const std::string& address,
+        int size,
+        std::string text,
+        int receive_buffer = 0)
       : text_(std::move(text)) {
     const auto parsed = internal::ParseSocketAddress(address, nullptr);
     for (int i = 0; i < size; ++i) {
       Member it;
       it.fd = internal::FileDescriptor(
           socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+      if (receive_buffer > 0) {
+        setsockopt(it.fd.get(), SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                   sizeof(receive_buffer));
+      }
       if (connect(it.fd.get(), parsed->get(), parsed->size) == 0 ||
           errno == EINPROGRESS) {
         members_.push_back(std::move(it));
@@ -33,7 +95,9 @@
 
   // Sends until all texts are sent or their connections closed, or until no
   // connection takes more.
-  void Send(size_t piece_bytes) {
+  void Send(
+      size_t piece_bytes,
+      const OnProgress& on_progress = [] {}) {
     while (true) {
       std::vector<pollfd> sockets;
       std::vector<Member*> open;
@@ -52,6 +116,7 @@
           SendPiece(*open[i], piece_bytes);
         }
       }
+      on_progress();
     }
   }
 
--- a/tests/client_crowd_test.cc
+++ b/tests/client_crowd_test.cc
@@ -92,6 +92,12 @@
                       std::string(body));
 }
 
+constexpr size_t kManyRequests = 20000;
+
+std::string PipelinedRequests(size_t n) {
+  return Repeat("GET /queue/crowd HTTP/1.1\r\nHost: host\r\n\r\n", n);
+}
+
 // A body of the largest size, without its last byte.
 std::string UnfinishedBody() {
   return absl::StrCat(
@@ -107,10 +113,21 @@
                 kMaxBodyBytes / chunk_bytes);
 }
 
+// How the daemons of a test are run.
+struct CrowdTestSettings {
+  bool has_peer = true;
+  int max_connections = kMaxConnections;
+  // 0: not named in the settings.
+  int memory_mb = 0;
+};
+
 class ClientCrowdTest : public testing::Test {
  protected:
-  ClientCrowdTest()
-      : directory_(absl::StrCat(testing::TempDir(), "client_crowd_", getpid())),
+  ClientCrowdTest() : ClientCrowdTest(CrowdTestSettings()) {}
+
+  explicit ClientCrowdTest(const CrowdTestSettings& settings)
+      : settings_(settings),
+        directory_(absl::StrCat(testing::TempDir(), "client_crowd_", getpid())),
         loop_("crowd"),
         client_(ClientSettings(), loop_),
         table_(loop_),
@@ -152,7 +169,7 @@
       Tick(0);
     });
     StartDaemon(0);
-    if (has_peer()) {
+    if (settings_.has_peer) {
       StartDaemon(1);
     }
     ASSERT_TRUE(OrdinaryRequestIsAnswered());
@@ -162,8 +179,6 @@
     ASSERT_GT(memory_in_use_before_kb_, 0);
   }
 
-  virtual bool has_peer() const { return true; }
-
   // Starts daemon 0, which gets the crowds, or its peer.
   void StartDaemon(int i) {
     const auto address = [] { return absl::StrCat("127.0.0.1:", FreePort()); };
@@ -179,6 +194,9 @@
     std::ofstream(stem + ".ini")
         << "[daemon]\nvm = d1n" << i
         << "\nfailure_domain = d1\nfailure_domains = d1"
+        << (settings_.memory_mb > 0
+                ? absl::StrCat("\nmemory_mb = ", settings_.memory_mb)
+                : "")
         << "\ncaller_address = " << addresses[0]
         << "\nready_address = " << addresses[1]
         << "\noperator_address = " << addresses[2]
@@ -188,7 +206,8 @@
            "[operators]\ntoken = crowd-operator-token\n"
            "[lease]\nlength = 1s\nrenew_interval = 300ms\n"
            "[requests]\nidle_timeout = 600s\nmax_connections = "
-        << kMaxConnections << "\nmax_body_bytes = " << kMaxBodyBytes << "\n";
+        << settings_.max_connections << "\nmax_body_bytes = " << kMaxBodyBytes
+        << "\n";
     auto& daemon = i == 0 ? daemon_ : peer_;
     daemon = std::make_unique<ChildProcess>(
         std::vector<std::string>{DaemonPath(), "--platform", "--config",
@@ -232,8 +251,9 @@
     const int64_t growth_kb = ReadStatusKb("VmHWM:") - memory_before_kb_;
     RecordProperty("growth_kb", std::to_string(growth_kb));
     EXPECT_LE(growth_kb, max_growth_kb);
-    EXPECT_LE(CountDescriptors(),
-              descriptors_before_ + kMaxConnections + kDescriptorSlack);
+    EXPECT_LE(
+        CountDescriptors(),
+        descriptors_before_ + settings_.max_connections + kDescriptorSlack);
   }
 
   std::string ReadMetrics() const {
@@ -270,6 +290,30 @@
     ExpectWithinBounds();
   }
 
+  // Holds a crowd that reads no answers. Returns the peak of what the daemon
+  // occupies, in KiB: its memory and what waits in its sockets.
+  int64_t PeakOfCrowdThatReadsNothing(int size, const std::string& text) {
+    constexpr int kReceiveBufferBytes = 4096;
+    Crowd crowd(caller_address_, size, text, kReceiveBufferBytes);
+    int64_t peak_kb = 0;
+    const auto sample = [&] {
+      const SocketQueues queues = ReadSocketQueues(caller_address_);
+      const int64_t memory_kb = ReadStatusKb("VmRSS:");
+      const int64_t kb = memory_kb + (queues.unread + queues.unsent) / 1024;
+      if (kb > peak_kb) {
+        peak_kb = kb;
+        RecordProperty("peak_kb", std::to_string(peak_kb));
+        RecordProperty("unread_kb", std::to_string(queues.unread / 1024));
+        RecordProperty("unsent_kb", std::to_string(queues.unsent / 1024));
+      }
+    };
+    crowd.Send(kPieceBytes, sample);
+    EXPECT_TRUE(OrdinaryRequestIsAnswered());
+    EXPECT_EQ(daemon_->PollExitStatus(), std::nullopt) << "the daemon ended";
+    sample();
+    return peak_kb;
+  }
+
   // Sends a request and waits for the end of its connection or response.
   std::string SendOne(const std::string& text) const {
     auto connection = RawConnection::To(caller_address_);
@@ -300,6 +344,7 @@
   std::string operator_address_;
   std::string ready_address_;
   std::string peer_address_;
+  int64_t memory_in_use_before_kb_ = 0;
 
  private:
   static HttpClientSettings ClientSettings() {
@@ -329,6 +374,7 @@
     loop_.PostDelayed(kTickInterval, [this, n] { Tick(n + 1); });
   }
 
+  const CrowdTestSettings settings_;
   const std::string directory_;
   const SystemClock clock_;
   ControlLoop loop_;
@@ -343,7 +389,6 @@
   std::string last_answer_;
   int descriptors_before_ = 0;
   int64_t memory_before_kb_ = 0;
-  int64_t memory_in_use_before_kb_ = 0;
 };
 
 TEST_F(ClientCrowdTest, WholeBodies_WithoutLastByte_StayWithinBounds) {
@@ -423,9 +468,15 @@
 // Guards against clients that send request after request and read no answer.
 TEST_F(ClientCrowdTest, PipelinedRequests_AnswersNotRead_StayWithinBounds) {
   constexpr size_t kRequests = 5000;
-  HoldCrowd(
-      Repeat("GET /queue/crowd HTTP/1.1\r\nHost: host\r\n\r\n", kRequests),
-      kPieceBytes);
+  HoldCrowd(PipelinedRequests(kRequests), kPieceBytes);
+}
+
+// Guards against the same in the buffers of the sockets: requests that are not
+// read while an answer waits, and answers that are not read.
+TEST_F(ClientCrowdTest, PipelinedRequests_InSocketBuffers_StayWithinBounds) {
+  const int64_t peak_kb = PeakOfCrowdThatReadsNothing(
+      kMaxConnections, PipelinedRequests(kManyRequests));
+  EXPECT_LE(peak_kb - memory_in_use_before_kb_, kMaxGrowthKb);
 }
 
 // Guards against the larger default limits of the addresses that are not for
@@ -451,7 +502,7 @@
 // A daemon that has never had a peer.
 class SingleDaemonCrowdTest : public ClientCrowdTest {
  protected:
-  bool has_peer() const override { return false; }
+  SingleDaemonCrowdTest() : ClientCrowdTest({.has_peer = false}) {}
 };
 
 // Guards against a daemon that serves nobody without a peer.
@@ -459,5 +510,23 @@
   HoldCrowd(UnfinishedBody(), kMaxBodyBytes);
 }
 
+// The smallest VM, with the connections of the deploy file.
+class SmallestVmCrowdTest : public ClientCrowdTest {
+ protected:
+  static constexpr int kMemoryMb = 120;
+
+  SmallestVmCrowdTest()
+      : ClientCrowdTest({.max_connections = 2000, .memory_mb = kMemoryMb}) {}
+};
+
+// Guards against a process that needs more than its VM has, with what waits in
+// its sockets.
+TEST_F(SmallestVmCrowdTest, PipelinedRequests_AnswersNotRead_FitInMemory) {
+  constexpr int kCrowd = 2500;
+  EXPECT_LE(
+      PeakOfCrowdThatReadsNothing(kCrowd, PipelinedRequests(kManyRequests)),
+      kMemoryMb * 1024);
+}
+
 }  // namespace
 }  // namespace radishrail
