Close the oldest stranger at the peer address for a newer connection

What callers saw: while strangers hold all 1,024 connections of the peer address, peers cannot connect for up to 5 s, longer than a lease, so jobs are refused. Cause: a new connection was closed if there were too many, whoever held them. Change: the connection that has waited longest without the cluster key is closed instead. Peers that have shown the key keep theirs. Evidence: Peer_StrangersHoldAllConnections_IsServed of tcp_peer_transport_test failed before (no message within 60 s with a long hello timeout), passes now with the 20 cases that were there; Stranger_PeersHoldAllConnections_IsClosed passed before too. Why it works: a peer sends its hello at once, so it is known before 1,024 newer connections have come.

--- a/src/tcp_peer_transport.cc
+++ b/src/tcp_peer_transport.cc
@@ -170,6 +170,9 @@
   void SendConfirmation(Connection& connection);
   void Close(Connection& connection, const Error& error);
   void ResetLink(const std::string& address, bool was_established);
+  // Closes the unauthenticated inbound connection that has waited longest;
+  // false if there is none.
+  bool MakeRoom();
   Connection& AddConnection(internal::FileDescriptor fd, std::string address);
   void UpdateEvents(Connection& connection);
   void SetDeadline(Connection& connection, absl::Time deadline);
@@ -204,6 +207,9 @@
   std::set<std::pair<absl::Time, uint64_t>> deadlines_;
   uint64_t next_id_ = kListenerId + 1;
   int inbound_count_ = 0;
+  // Inbound connections without a valid hello, in the order of their ids: the
+  // oldest first.
+  std::set<uint64_t> unauthenticated_;
   absl::Time next_log_at_ = absl::InfinitePast();
   SeededRandom random_;
   std::vector<char> receive_buffer_;
@@ -490,18 +496,31 @@
       }
       return;
     }
-    if (inbound_count_ >= settings_.max_inbound_connections) {
+    if (inbound_count_ >= settings_.max_inbound_connections && !MakeRoom()) {
       connection_errors_.Add();
       continue;
     }
     ++inbound_count_;
     Connection& connection = AddConnection(
         std::move(fd), internal::FormatSocketAddress(remote.get()));
+    unauthenticated_.insert(connection.id);
     SetDeadline(connection, clock_.Monotonic() + settings_.hello_timeout);
     UpdateEvents(connection);
   }
 }
 
+// A peer sends its hello at once, so that the newest connections may be those
+// of peers.
+bool TcpPeerTransport::Impl::MakeRoom() {
+  if (unauthenticated_.empty()) {
+    return false;
+  }
+  Connection& oldest = *connections_.at(*unauthenticated_.begin());
+  Close(oldest, PeerError(ErrorCode::kOverloaded, oldest.address,
+                          "closed for a newer connection before its hello"));
+  return true;
+}
+
 Connection& TcpPeerTransport::Impl::AddConnection(internal::FileDescriptor fd,
                                                   std::string address) {
   SetSocketOptions(fd.get());
@@ -690,6 +709,7 @@
     return false;
   }
   connection.established = true;
+  unauthenticated_.erase(connection.id);
   connection.peer_confirms = hello->confirms;
   connection.sender = hello->sender;
   SetDeadline(connection, absl::InfiniteFuture());
@@ -861,6 +881,7 @@
   const bool outbound = connection.outbound;
   const bool established = connection.established;
   const MemberRecord sender = connection.sender;
+  unauthenticated_.erase(connection.id);
   connections_.erase(connection.id);
   if (outbound) {
     ResetLink(address, established);
--- a/tests/tcp_peer_transport_test.cc
+++ b/tests/tcp_peer_transport_test.cc
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "gtest/gtest.h"
 #include "radishrail/control_loop.h"
@@ -350,6 +351,39 @@
             kMessages - 1);
 }
 
+// Guards against strangers who hold all connections, so that a daemon cannot
+// be reached by its peers.
+TEST_F(TcpPeerTransportTest, Peer_StrangersHoldAllConnections_IsServed) {
+  constexpr int kMaxConnections = 4;
+  TcpPeerSettings settings;
+  settings.max_inbound_connections = kMaxConnections;
+  settings.hello_timeout = absl::Minutes(10);
+  Node a("vm-a", settings);
+  std::vector<RawConnection> strangers;
+  for (int i = 0; i < kMaxConnections; ++i) {
+    strangers.push_back(RawConnection::To(a.address()));
+  }
+  Node b("vm-b");
+  SendWhenPossible(b, a.address(), ForwardReply{1, "key", 200, "body"});
+  EXPECT_EQ(a.handler.WaitForMessages(1).size(), 1u);
+  // The one that has waited longest makes room.
+  EXPECT_EQ(strangers.front().ReadUntilClosed(), "");
+}
+
+// Guards against strangers who take the connections of peers.
+TEST_F(TcpPeerTransportTest, Stranger_PeersHoldAllConnections_IsClosed) {
+  TcpPeerSettings settings;
+  settings.max_inbound_connections = 1;
+  Node a("vm-a", settings);
+  Node b("vm-b");
+  SendWhenPossible(b, a.address(), ForwardReply{1, "key", 200, "body"});
+  a.handler.WaitForMessages(1);
+  auto stranger = RawConnection::To(a.address());
+  EXPECT_EQ(stranger.ReadUntilClosed(), "");
+  SendWhenPossible(b, a.address(), ForwardReply{2, "key", 200, "body"});
+  EXPECT_EQ(a.handler.WaitForMessages(2).size(), 2u);
+}
+
 // Guards against losing all further messages on a connection that transfers no
 // data but is not reset (soak seed 140).
 TEST_F(TcpPeerTransportTest, Send_ConnectionUnresponsive_IsReplaced) {
