Let all peer connections share one limit of messages that wait

What callers saw: nothing yet; while the control thread is blocked, each peer's connection kept up to 16 MiB, which no small VM has for more than a few peers. Cause: the limit was per connection. Change: one count for all connections. Whoever delivers beyond it is paused. Why it works: what waits is at most the limit and what each connection reads in one turn.

--- a/src/tcp_peer_transport.cc
+++ b/src/tcp_peer_transport.cc
@@ -39,8 +39,8 @@
 // Frames are moved from a peer's queue to the write buffer of its connection
 // until the buffer has this size.
 constexpr size_t kSendBatchBytes = 256 * 1024;
-// Reading from a connection is paused while more than this waits on the
-// executor, and resumed at half of it.
+// While more than this waits on the executor, each connection that delivers
+// messages is paused; its reading is resumed at half of it.
 constexpr size_t kMaxUndeliveredBytes = 16 * 1024 * 1024;
 constexpr absl::Duration kResumeCheckInterval = absl::Milliseconds(5);
 constexpr absl::Duration kAcceptRetryDelay = absl::Milliseconds(100);
@@ -116,8 +116,6 @@
   std::string write_buffer;
   size_t write_offset = 0;
   absl::Time deadline = absl::InfiniteFuture();
-  std::shared_ptr<std::atomic<size_t>> undelivered =
-      std::make_shared<std::atomic<size_t>>(0);
 };
 
 // Queue and connection state of one peer address; guarded by the mutex.
@@ -210,6 +208,9 @@
   // Inbound connections without a valid hello, in the order of their ids: the
   // oldest first.
   std::set<uint64_t> unauthenticated_;
+  // Bytes of messages that wait on the executor, of all connections.
+  const std::shared_ptr<std::atomic<size_t>> undelivered_ =
+      std::make_shared<std::atomic<size_t>>(0);
   absl::Time next_log_at_ = absl::InfinitePast();
   SeededRandom random_;
   std::vector<char> receive_buffer_;
@@ -411,8 +412,7 @@
     Connection& connection = *it->second;
     connection.deadline = absl::InfiniteFuture();
     if (connection.paused) {
-      connection.paused =
-          connection.undelivered->load() > kMaxUndeliveredBytes / 2;
+      connection.paused = undelivered_->load() > kMaxUndeliveredBytes / 2;
       if (connection.paused) {
         SetDeadline(connection, now + kResumeCheckInterval);
       }
@@ -732,8 +732,7 @@
   if (messages.empty()) {
     return;
   }
-  const auto undelivered = connection.undelivered;
-  if (undelivered->fetch_add(bytes) + bytes > kMaxUndeliveredBytes) {
+  if (undelivered_->fetch_add(bytes) + bytes > kMaxUndeliveredBytes) {
     connection.paused = true;
     SetDeadline(connection, clock_.Monotonic() + kResumeCheckInterval);
     UpdateEvents(connection);
@@ -744,7 +743,8 @@
                                                  settings_.confirm_interval));
   }
   executor_.Post([handler = handler_, sender = connection.sender,
-                  messages = std::move(messages), undelivered, bytes] {
+                  messages = std::move(messages), undelivered = undelivered_,
+                  bytes] {
     for (const auto& it : messages) {
       handler->OnPeerMessage(sender, it);
     }
--- a/tests/tcp_peer_transport_test.cc
+++ b/tests/tcp_peer_transport_test.cc
@@ -351,6 +351,44 @@
             kMessages - 1);
 }
 
+// Guards against memory for each of many peers while the control thread is
+// blocked.
+TEST_F(TcpPeerTransportTest, Receive_ManyPeersExecutorBlocked_ShareOneLimit) {
+  constexpr size_t kPeers = 4;
+  constexpr size_t kMessagesPerPeer = 12;
+  constexpr size_t kMessageBytes = 1024 * 1024;
+  constexpr size_t kPauseBytes = 16 * kMessageBytes;
+  // What a peer may have sent before its connection is paused.
+  constexpr size_t kSlackPerPeer = 2 * kMessageBytes;
+  TcpPeerSettings patient;
+  patient.confirm_timeout = absl::Minutes(10);
+  Node receiver("receiver");
+  Event release;
+  receiver.loop.Post([&] { release.Wait(); });
+  std::vector<std::unique_ptr<Node>> peers;
+  for (size_t i = 0; i < kPeers; ++i) {
+    peers.push_back(std::make_unique<Node>(absl::StrCat("vm-", i), patient));
+    for (size_t n = 0; n < kMessagesPerPeer; ++n) {
+      SendWhenPossible(
+          *peers.back(), receiver.address(),
+          ForwardReply{n, "key", 200, std::string(kMessageBytes, 'x')});
+    }
+  }
+  const absl::Time limit = absl::Now() + kTestWait;
+  const auto received = [&] {
+    return receiver.counter("radishrail_peer_received_bytes_total");
+  };
+  while (received() < kPauseBytes && absl::Now() < limit) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  // Time in which a transport that does not pause would read more.
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  EXPECT_LT(received(), kPauseBytes + kPeers * kSlackPerPeer);
+  release.Notify();
+  EXPECT_EQ(receiver.handler.WaitForMessages(kPeers * kMessagesPerPeer).size(),
+            kPeers * kMessagesPerPeer);
+}
+
 // Guards against strangers who hold all connections, so that a daemon cannot
 // be reached by its peers.
 TEST_F(TcpPeerTransportTest, Peer_StrangersHoldAllConnections_IsServed) {
