--- a/tests/decoder_fuzz_test.cc
+++ b/tests/decoder_fuzz_test.cc
@@ -129,39 +129,82 @@
   }
 }
 
+constexpr size_t kLargeBodyBytes = 256 * 1024;
+// Of what a decoder may allocate for a large body.
+constexpr size_t kMaxDecodingBytes = 16 * kLargeBodyBytes;
+
+// A body of up to the largest size that consists of small elements after one of
+// the starts.
+template <size_t N>
+std::string GenerateLargeBody(const std::array<std::string_view, N>& starts,
+                              Random& random) {
+  constexpr std::array<std::string_view, 10> kElements = {
+      "[",   "[],", "{},",       "0,",         "{\"\":",
+      "\"a", "[[]", R"({"id":)", "{\"a\":0},", "x"};
+  constexpr std::array<std::string_view, 4> kEnds = {"", "0]}", "\"}]}",
+                                                     "0]}]}"};
+  std::string body(starts[random.Below(starts.size())]);
+  const std::string_view first = kElements[random.Below(kElements.size())];
+  const std::string_view second = kElements[random.Below(kElements.size())];
+  const size_t size = random.Below(kLargeBodyBytes);
+  while (body.size() < size) {
+    body += random.Below(64) == 0 ? second : first;
+  }
+  body += kEnds[random.Below(kEnds.size())];
+  return body;
+}
+
+// The most memory that `decode` has allocated at a time.
+template <typename Decode>
+size_t PeakOf(const Decode& decode) {
+  const size_t before = allocated_bytes;
+  peak_bytes = before;
+  decode();
+  return peak_bytes - before;
+}
+
 // Guards against bodies of legal size that cost many times their size to parse:
 // many small elements, deep nesting, and values that are copied for each task.
 TEST(DecoderFuzzTest, JobBody_OfManySmallElements_CostsBoundedMemory) {
-  constexpr size_t kBodyBytes = 256 * 1024;
-  constexpr size_t kMaxBytes = 16 * kBodyBytes;
   constexpr std::array<std::string_view, 5> kStarts = {
       "", R"({"bestEffort":true,"steps":[)",
       R"({"bestEffort":true,"steps":[{"count":512,"dependsOn":[)",
       R"({"bestEffort":true,"steps":[{"count":512,"affinity":")",
       R"({"environment":"e","tasks":[)"};
-  constexpr std::array<std::string_view, 10> kElements = {
-      "[",   "[],", "{},",       "0,",         "{\"\":",
-      "\"a", "[[]", R"({"id":)", "{\"a\":0},", "x"};
-  constexpr std::array<std::string_view, 4> kEnds = {"", "0]}", "\"}]}",
-                                                     "0]}]}"};
   for (uint64_t seed = 1; seed <= 1000 && !testing::Test::HasFailure();
        ++seed) {
     SCOPED_TRACE("seed " + std::to_string(seed));
     SeededRandom random(seed);
-    std::string body(kStarts[random.Below(kStarts.size())]);
-    const std::string_view first = kElements[random.Below(kElements.size())];
-    const std::string_view second = kElements[random.Below(kElements.size())];
-    const size_t size = random.Below(kBodyBytes);
-    while (body.size() < size) {
-      body += random.Below(64) == 0 ? second : first;
-    }
-    body += kEnds[random.Below(kEnds.size())];
-    const size_t before = allocated_bytes;
-    peak_bytes = before;
-    Error error;
-    platform::DecodeJob(body, &error);
-    ParseJob(body, "key", &error);
-    EXPECT_LE(peak_bytes - before, kMaxBytes);
+    const std::string body = GenerateLargeBody(kStarts, random);
+    EXPECT_LE(PeakOf([&] {
+                Error error;
+                platform::DecodeJob(body, &error);
+                ParseJob(body, "key", &error);
+              }),
+              kMaxDecodingBytes);
+  }
+}
+
+// Guards against the same in the answers and entries of runners and in the
+// answers of the store, one of which would end the process.
+TEST(DecoderFuzzTest, Answer_OfManySmallElements_CostsBoundedMemory) {
+  constexpr std::array<std::string_view, 5> kStarts = {
+      "", R"({"running":[)", R"({"running":[],"endedRuns":[)", R"({"rows":[)",
+      R"({"routes":[)"};
+  for (uint64_t seed = 1; seed <= 1000 && !testing::Test::HasFailure();
+       ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    SeededRandom random(seed);
+    const std::string body = GenerateLargeBody(kStarts, random);
+    EXPECT_LE(PeakOf([&] {
+                Error error;
+                platform::DecodeOrderReply(200, body);
+                platform::DecodeHoldReply(200, body);
+                platform::DecodeRunnerEntry("id", body, &error);
+                platform::DecodeConfig(body, &error);
+                platform::DecodeRows(body, &error);
+              }),
+              kMaxDecodingBytes);
   }
 }
 
