Test crowds without a store, with a small share of a core, and that return

Cause: these were not tried before, nor was what a job costs in calm measured side by side. Change: four cases of client_crowd_test, with the bounds that were there, and one place for numbers from the environment (it stood twice).

--- a/tests/client_crowd.h
+++ b/tests/client_crowd.h
@@ -76,19 +76,18 @@
         int size,
         std::string text,
         int receive_buffer = 0)
-      : text_(std::move(text)) {
-    const auto parsed = internal::ParseSocketAddress(address, nullptr);
-    for (int i = 0; i < size; ++i) {
-      Member it;
-      it.fd = internal::FileDescriptor(
-          socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-      if (receive_buffer > 0) {
-        setsockopt(it.fd.get(), SOL_SOCKET, SO_RCVBUF, &receive_buffer,
-                   sizeof(receive_buffer));
-      }
-      if (connect(it.fd.get(), parsed->get(), parsed->size) == 0 ||
-          errno == EINPROGRESS) {
-        members_.push_back(std::move(it));
+      : address_(*internal::ParseSocketAddress(address, nullptr)),
+        receive_buffer_(receive_buffer),
+        text_(std::move(text)),
+        members_(static_cast<size_t>(size)) {
+    Return();
+  }
+
+  // Connects those again whose connections were closed.
+  void Return() {
+    for (auto& it : members_) {
+      if (!it.fd.valid()) {
+        it = {Connect(), 0};
       }
     }
   }
@@ -129,6 +128,21 @@
     size_t sent = 0;
   };
 
+  // Invalid if the connection fails at once.
+  internal::FileDescriptor Connect() const {
+    internal::FileDescriptor fd(
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+    if (receive_buffer_ > 0) {
+      setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &receive_buffer_,
+                 sizeof(receive_buffer_));
+    }
+    if (connect(fd.get(), address_.get(), address_.size) != 0 &&
+        errno != EINPROGRESS) {
+      fd.Reset();
+    }
+    return fd;
+  }
+
   void SendPiece(Member& member, size_t piece_bytes) {
     const size_t n = std::min(piece_bytes, text_.size() - member.sent);
     const ssize_t sent = send(member.fd.get(), text_.data() + member.sent, n,
@@ -140,7 +154,9 @@
     }
   }
 
-  const std::string text_;
+  internal::SocketAddress address_;
+  int receive_buffer_;
+  std::string text_;
   std::vector<Member> members_;
 };
 
--- a/tests/client_crowd_test.cc
+++ b/tests/client_crowd_test.cc
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -16,6 +18,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 #include "../tools/soak/child_process.h"
@@ -26,6 +29,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "client_crowd.h"
+#include "environment_number.h"
 #include "gtest/gtest.h"
 #include "radishrail/clock.h"
 #include "socket_address.h"
@@ -92,6 +96,7 @@
                       std::string(body));
 }
 
+constexpr size_t kTinyChunkBytes = 16;
 constexpr size_t kManyRequests = 20000;
 
 std::string PipelinedRequests(size_t n) {
@@ -113,6 +118,37 @@
                 kMaxBodyBytes / chunk_bytes);
 }
 
+// Lets a process run for a small part of the time, by signals.
+class ProcessorShare {
+ public:
+  explicit ProcessorShare(const ChildProcess& process)
+      : process_(process), thread_([this] { Run(); }) {}
+  ~ProcessorShare() {
+    running_ = false;
+    thread_.join();
+    process_.Signal(SIGCONT);
+  }
+  ProcessorShare(const ProcessorShare&) = delete;
+  ProcessorShare& operator=(const ProcessorShare&) = delete;
+
+ private:
+  static constexpr absl::Duration kRunning = absl::Milliseconds(9);
+  static constexpr absl::Duration kStopped = absl::Milliseconds(91);
+
+  void Run() {
+    while (running_) {
+      process_.Signal(SIGSTOP);
+      absl::SleepFor(kStopped);
+      process_.Signal(SIGCONT);
+      absl::SleepFor(kRunning);
+    }
+  }
+
+  const ChildProcess& process_;
+  std::atomic<bool> running_ = true;
+  std::thread thread_;
+};
+
 // How the daemons of a test are run.
 struct CrowdTestSettings {
   bool has_peer = true;
@@ -216,20 +252,26 @@
     ASSERT_TRUE(daemon->Start());
   }
 
-  // A job with one task, from a client that repeats refused requests.
-  bool OrdinaryRequestIsAnswered() {
+  // A job with one task. `padding`: blanks after it.
+  HttpResult SendJob(size_t padding) {
+    HttpClientRequest request;
+    request.method = "POST";
+    request.address = caller_address_;
+    request.target = absl::StrCat("/queue/job", ++jobs_);
+    request.headers = {"Host: host", "Content-Type: application/json",
+                       "X-Deadline-Ms: 1500", "Connection: close"};
+    request.body = R"({"spec":"s","steps":[{"count":1,"cpu":8000,"memMb":64,)"
+                   R"("estimateMs":20}],"bestEffort":true})" +
+                   std::string(padding, ' ');
+    request.timeout = absl::Seconds(3);
+    return SendAsync(client_, std::move(request)).Wait();
+  }
+
+  // Sends a job from a client that repeats refused requests.
+  bool OrdinaryRequestIsAnswered(size_t padding = 0) {
     const absl::Time deadline = absl::Now() + kTestWait;
     while (absl::Now() < deadline) {
-      HttpClientRequest request;
-      request.method = "POST";
-      request.address = caller_address_;
-      request.target = absl::StrCat("/queue/job", ++jobs_);
-      request.headers = {"Host: host", "Content-Type: application/json",
-                         "X-Deadline-Ms: 1500", "Connection: close"};
-      request.body = R"({"spec":"s","steps":[{"count":1,"cpu":8000,"memMb":64,)"
-                     R"("estimateMs":20}],"bestEffort":true})";
-      request.timeout = absl::Seconds(3);
-      const HttpResult result = SendAsync(client_, std::move(request)).Wait();
+      const HttpResult result = SendJob(padding);
       if (result.status == 200) {
         EXPECT_TRUE(absl::StrContains(result.body, "completed")) << result.body;
         return true;
@@ -256,6 +298,10 @@
         descriptors_before_ + settings_.max_connections + kDescriptorSlack);
   }
 
+  void SetStoreAvailable(bool available) {
+    RunOnLoop([&] { table_.faults.unavailable = !available; });
+  }
+
   std::string ReadMetrics() const {
     auto connection = RawConnection::To(operator_address_);
     connection.Write(
@@ -333,6 +379,20 @@
     return 0;
   }
 
+  // Of all threads of the daemon since its start.
+  absl::Duration ReadProcessorTime() const {
+    constexpr int kFieldsBeforeTimes = 13;
+    std::ifstream stat(absl::StrCat("/proc/", daemon_->pid(), "/stat"));
+    std::string field;
+    for (int i = 0; i < kFieldsBeforeTimes; ++i) {
+      stat >> field;
+    }
+    int64_t user_ticks = 0;
+    int64_t system_ticks = 0;
+    stat >> user_ticks >> system_ticks;
+    return absl::Seconds(user_ticks + system_ticks) / sysconf(_SC_CLK_TCK);
+  }
+
   int CountDescriptors() const {
     std::error_code error;
     const std::filesystem::directory_iterator files(
@@ -345,6 +405,7 @@
   std::string ready_address_;
   std::string peer_address_;
   int64_t memory_in_use_before_kb_ = 0;
+  std::unique_ptr<ChildProcess> daemon_;
 
  private:
   static HttpClientSettings ClientSettings() {
@@ -382,7 +443,6 @@
   RunLog log_;
   TableStandin table_;
   RunnerStandin runner_;
-  std::unique_ptr<ChildProcess> daemon_;
   std::unique_ptr<ChildProcess> peer_;
   bool stopped_ = false;
   int jobs_ = 0;
@@ -406,8 +466,7 @@
 
 // Guards against a cost for each chunk, too.
 TEST_F(ClientCrowdTest, TinyChunks_WithoutLastChunk_StayWithinBounds) {
-  constexpr size_t kChunkBytes = 16;
-  HoldCrowd(UnfinishedChunks(kChunkBytes), kPieceBytes);
+  HoldCrowd(UnfinishedChunks(kTinyChunkBytes), kPieceBytes);
 }
 
 // Guards against memory that stays with the process after each crowd.
@@ -479,6 +538,29 @@
   EXPECT_LE(peak_kb - memory_in_use_before_kb_, kMaxGrowthKb);
 }
 
+// Guards against limits that clients inside them meet. Records what a job
+// costs, for comparisons of two daemons by hand. RADISHRAIL_CALM_JOBS: number
+// of jobs.
+TEST_F(ClientCrowdTest, JobsOneByOne_SmallAndLarge_AreServed) {
+  constexpr size_t kLargePadding = 256000;
+  const uint64_t jobs = FromEnvironment("RADISHRAIL_CALM_JOBS", 20);
+  for (const size_t padding : {size_t{0}, kLargePadding}) {
+    const absl::Duration processor_before = ReadProcessorTime();
+    const absl::Time start = absl::Now();
+    for (uint64_t i = 0; i < jobs; ++i) {
+      ASSERT_TRUE(OrdinaryRequestIsAnswered(padding));
+    }
+    const std::string name = padding == 0 ? "small" : "large";
+    const auto record = [&](const std::string& what, absl::Duration total) {
+      RecordProperty(
+          absl::StrCat(name, "_", what, "_us"),
+          absl::StrCat(absl::ToInt64Microseconds(total / double(jobs))));
+    };
+    record("latency", absl::Now() - start);
+    record("processor", ReadProcessorTime() - processor_before);
+  }
+}
+
 // Guards against the larger default limits of the addresses that are not for
 // callers.
 TEST_F(ClientCrowdTest, BodiesAtOtherAddresses_StayWithinBounds) {
@@ -510,6 +592,49 @@
   HoldCrowd(UnfinishedBody(), kMaxBodyBytes);
 }
 
+// Guards against memory that a crowd takes only while the store is lost.
+TEST_F(ClientCrowdTest, Crowds_StoreIsLost_StayWithinBounds) {
+  SetStoreAvailable(false);
+  HoldCrowd(UnfinishedBody(), kPieceBytes);
+  HoldCrowd(PipelinedRequests(kManyRequests), kPieceBytes);
+  SetStoreAvailable(true);
+  ExpectWithinBounds();
+}
+
+// Guards against crowds that return as soon as they are closed and so leave no
+// room for others. RADISHRAIL_CROWD_ROUNDS: for a longer run by hand.
+TEST_F(ClientCrowdTest, Crowds_ReturnForManyRounds_StayWithinBounds) {
+  const uint64_t rounds = FromEnvironment("RADISHRAIL_CROWD_ROUNDS", 3);
+  std::vector<Crowd> crowds;
+  crowds.emplace_back(caller_address_, kMaxConnections / 3, UnfinishedBody());
+  crowds.emplace_back(caller_address_, kMaxConnections / 3,
+                      UnfinishedChunks(kTinyChunkBytes));
+  crowds.emplace_back(caller_address_, kMaxConnections / 3,
+                      PipelinedRequests(kManyRequests));
+  for (uint64_t i = 0; i < rounds && !HasFailure(); ++i) {
+    for (auto& it : crowds) {
+      it.Return();
+      it.Send(kPieceBytes);
+      EXPECT_TRUE(OrdinaryRequestIsAnswered());
+    }
+    ExpectWithinBounds();
+  }
+}
+
+// Guards against what gathers while the process cannot keep up.
+TEST_F(ClientCrowdTest, Crowds_SmallShareOfCore_StayWithinBounds) {
+  {
+    const ProcessorShare share(*daemon_);
+    HoldCrowd(UnfinishedBody(), kPieceBytes);
+    HoldCrowd(UnfinishedChunks(kTinyChunkBytes), kPieceBytes);
+    EXPECT_LE(PeakOfCrowdThatReadsNothing(kMaxConnections,
+                                          PipelinedRequests(kManyRequests)) -
+                  memory_in_use_before_kb_,
+              kMaxGrowthKb);
+  }
+  ExpectWithinBounds();
+}
+
 // The smallest VM, with the connections of the deploy file.
 class SmallestVmCrowdTest : public ClientCrowdTest {
  protected:
--- a/tests/ownership_model_test.cc
+++ b/tests/ownership_model_test.cc
@@ -4,7 +4,6 @@
 // RADISHRAIL_MODEL_FIRST_SEED=<s> sets the first one.
 
 #include <algorithm>
-#include <cstdlib>
 #include <deque>
 #include <functional>
 #include <iostream>
@@ -13,6 +12,7 @@
 #include <set>
 
 #include "absl/strings/str_cat.h"
+#include "environment_number.h"
 #include "gtest/gtest.h"
 #include "radishrail/membership.h"
 #include "radishrail/ownership.h"
@@ -715,11 +715,6 @@
   return violation;
 }
 
-uint64_t FromEnvironment(const char* name, uint64_t fallback) {
-  const char* value = std::getenv(name);
-  return value == nullptr ? fallback : std::strtoull(value, nullptr, 10);
-}
-
 void PrintTrace(uint64_t seed, const World& world) {
   std::cerr << "seed " << seed << ": " << world.violation << "\n";
   for (const auto& it : world.trace) {
--- a/tests/pool_fleet.h
+++ b/tests/pool_fleet.h
@@ -2,7 +2,6 @@
 #define RADISHRAIL_TESTS_POOL_FLEET_H_
 
 #include <algorithm>
-#include <cstdlib>
 #include <map>
 #include <memory>
 #include <optional>
@@ -12,10 +11,10 @@
 #include <variant>
 #include <vector>
 
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
+#include "environment_number.h"
 #include "gtest/gtest.h"
 #include "pool_world.h"
 #include "radishrail/policy_scheduler.h"
@@ -24,14 +23,6 @@
 
 namespace radishrail {
 
-// Reads a number from an environment variable, such as the seed range of a
-// random test, which can be extended in a manual run.
-inline uint64_t FromEnvironment(const char* name, uint64_t fallback) {
-  const char* value = std::getenv(name);
-  uint64_t n = 0;
-  return value != nullptr && absl::SimpleAtoi(value, &n) ? n : fallback;
-}
-
 // Executor of one daemon. Holds back tasks while the process is paused and
 // drops them once it has been killed.
 class DaemonExecutor : public Executor {
