--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/time/clock.h"
+#include "client_memory.h"
 #include "radishrail/log.h"
 #include "radishrail/policy_scheduler.h"
 
@@ -50,6 +51,7 @@
   server.threads = settings.caller_threads;
   server.max_connections = settings.max_connections;
   server.socket_buffer_bytes = settings.socket_buffer_bytes;
+  server.memory = internal::MakeClientMemory(settings);
   server.max_body_bytes = settings.max_body_bytes;
   server.idle_timeout = settings.idle_timeout;
   // For jobs that are unfinished when the server stops: they may have run, and
@@ -64,6 +66,9 @@
   HttpServerSettings server;
   server.address = settings.operator_address;
   server.max_connections = kMaxOperatorConnections;
+  // Not shared with callers, so that operators are answered beside a crowd.
+  server.memory = internal::MakeClientMemory(settings);
+  server.socket_buffer_bytes = settings.socket_buffer_bytes;
   server.idle_timeout = settings.idle_timeout;
   return server;
 }
@@ -108,6 +113,7 @@
 }
 
 bool Daemon::Start(Error* error) {
+  internal::SetAllocatorThresholds();
   if (!transport_.Start(node_.self(), node_, error) ||
       !operator_server_.Start(error) || !caller_server_.Start(error)) {
     return false;
--- a/tests/client_crowd.h
+++ b/tests/client_crowd.h
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -21,6 +22,15 @@
 
 namespace radishrail {
 
+inline std::string Repeat(std::string_view text, size_t n) {
+  std::string out;
+  out.reserve(text.size() * n);
+  for (size_t i = 0; i < n; ++i) {
+    out.append(text);
+  }
+  return out;
+}
+
 // Bytes in the queues of sockets.
 struct SocketQueues {
   int64_t unread = 0;  // received, not read by the process
--- a/tests/client_crowd_test.cc
+++ b/tests/client_crowd_test.cc
@@ -29,6 +29,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "client_crowd.h"
+#include "daemon_process.h"
 #include "environment_number.h"
 #include "gtest/gtest.h"
 #include "radishrail/clock.h"
@@ -56,36 +57,6 @@
 constexpr size_t kPieceBytes = 4096;
 constexpr absl::Duration kTickInterval = absl::Milliseconds(10);
 
-// A port below those that the system gives to outgoing connections, which could
-// take it before the daemon listens.
-int FreePort() {
-  constexpr int kFirstPort = 20000;
-  constexpr int kPorts = 10000;
-  static int next = getpid() * 64;
-  while (true) {
-    const int port = kFirstPort + next++ % kPorts;
-    uint16_t bound = 0;
-    if (internal::ListenOn(absl::StrCat("127.0.0.1:", port), &bound, nullptr)) {
-      return port;
-    }
-  }
-}
-
-// The daemon of this build; the variable names that of another one.
-std::string DaemonPath() {
-  const char* path = std::getenv("RADISHRAIL_TEST_DAEMON");
-  return path != nullptr ? path : RADISHRAILD_PATH;
-}
-
-std::string Repeat(std::string_view text, size_t n) {
-  std::string out;
-  out.reserve(text.size() * n);
-  for (size_t i = 0; i < n; ++i) {
-    out.append(text);
-  }
-  return out;
-}
-
 std::string PostHeader(std::string_view body_header) {
   return absl::StrCat("POST /queue/crowd HTTP/1.1\r\nHost: host\r\n",
                       std::string(body_header), "\r\n\r\n");
@@ -367,16 +338,8 @@
     return connection.ReadUntil("\r\n\r\n");
   }
 
-  int64_t ReadStatusKb(std::string_view field) const {
-    std::ifstream status(absl::StrCat("/proc/", daemon_->pid(), "/status"));
-    std::string name;
-    int64_t kb = 0;
-    while (status >> name) {
-      if (name == field && status >> kb) {
-        return kb;
-      }
-    }
-    return 0;
+  int64_t ReadStatusKb(const std::string& field) const {
+    return radishrail::ReadStatusKb(daemon_->pid(), field);
   }
 
   // Of all threads of the daemon since its start.
@@ -394,10 +357,7 @@
   }
 
   int CountDescriptors() const {
-    std::error_code error;
-    const std::filesystem::directory_iterator files(
-        absl::StrCat("/proc/", daemon_->pid(), "/fd"), error);
-    return static_cast<int>(std::distance(begin(files), end(files)));
+    return radishrail::CountDescriptors(daemon_->pid());
   }
 
   std::string caller_address_;
