--- a/tests/client_crowd_test.cc
+++ b/tests/client_crowd_test.cc
@@ -512,9 +512,9 @@
     }
     const std::string name = padding == 0 ? "small" : "large";
     const auto record = [&](const std::string& what, absl::Duration total) {
-      RecordProperty(
-          absl::StrCat(name, "_", what, "_us"),
-          absl::StrCat(absl::ToInt64Microseconds(total / double(jobs))));
+      RecordProperty(absl::StrCat(name, "_", what, "_us"),
+                     absl::StrCat(absl::ToInt64Microseconds(
+                         total / static_cast<double>(jobs))));
     };
     record("latency", absl::Now() - start);
     record("processor", ReadProcessorTime() - processor_before);
--- a/tests/http_server_stop_test.cc
+++ b/tests/http_server_stop_test.cc
@@ -61,6 +61,7 @@
     ASSERT_TRUE(server.Start(nullptr));
     std::atomic<int> served = 0;
     std::vector<std::thread> clients;
+    clients.reserve(kClients);
     for (int n = 0; n < kClients; ++n) {
       clients.emplace_back([&served, address = server.address()] {
         while (SendAndAwaitEnd(address)) {
--- a/tests/tcp_peer_transport_test.cc
+++ b/tests/tcp_peer_transport_test.cc
@@ -398,6 +398,7 @@
   settings.hello_timeout = absl::Minutes(10);
   Node a("vm-a", settings);
   std::vector<RawConnection> strangers;
+  strangers.reserve(kMaxConnections);
   for (int i = 0; i < kMaxConnections; ++i) {
     strangers.push_back(RawConnection::To(a.address()));
   }
