--- a/src/settings.cc
+++ b/src/settings.cc
@@ -134,7 +134,7 @@
         "memory that clients may occupy, in MiB; 0: a quarter of `memory_mb`"},
     Key{"requests", "socket_buffer_bytes", Type::kInteger,
         &Settings::socket_buffer_bytes, 4096, 4 * 1024 * 1024, false,
-        "receive and send buffer of each caller's connection in the kernel, "
+        "receive and send buffer of each HTTP connection in the kernel, "
         "which may hold twice as much"},
     Key{"requests", "max_body_bytes", Type::kBytes, &Settings::max_body_bytes,
         1024, 4 * 1024 * 1024, false, "largest request body"},
--- a/tests/client_crowd_test.cc
+++ b/tests/client_crowd_test.cc
@@ -309,12 +309,14 @@
 
   // Holds a crowd that reads no answers. Returns the peak of what the daemon
   // occupies, in KiB: its memory and what waits in its sockets.
-  int64_t PeakOfCrowdThatReadsNothing(int size, const std::string& text) {
+  int64_t PeakOfCrowdThatReadsNothing(const std::string& address,
+                                      int size,
+                                      const std::string& text) {
     constexpr int kReceiveBufferBytes = 4096;
-    Crowd crowd(caller_address_, size, text, kReceiveBufferBytes);
+    Crowd crowd(address, size, text, kReceiveBufferBytes);
     int64_t peak_kb = 0;
     const auto sample = [&] {
-      const SocketQueues queues = ReadSocketQueues(caller_address_);
+      const SocketQueues queues = ReadSocketQueues(address);
       const int64_t memory_kb = ReadStatusKb("VmRSS:");
       const int64_t kb = memory_kb + (queues.unread + queues.unsent) / 1024;
       if (kb > peak_kb) {
@@ -494,7 +496,7 @@
 // read while an answer waits, and answers that are not read.
 TEST_F(ClientCrowdTest, PipelinedRequests_InSocketBuffers_StayWithinBounds) {
   const int64_t peak_kb = PeakOfCrowdThatReadsNothing(
-      kMaxConnections, PipelinedRequests(kManyRequests));
+      caller_address_, kMaxConnections, PipelinedRequests(kManyRequests));
   EXPECT_LE(peak_kb - memory_in_use_before_kb_, kMaxGrowthKb);
 }
 
@@ -533,6 +535,18 @@
   HoldCrowdAt(ready_address_, kConnections, text, kMaxBodyBytes);
 }
 
+// Guards against long answers at these addresses that are not read.
+TEST_F(ClientCrowdTest, PipelinedRequestsAtOtherAddresses_StayWithinBounds) {
+  constexpr int kConnections = 60;
+  const std::string text =
+      Repeat("GET /metrics HTTP/1.1\r\nHost: host\r\n\r\n", kManyRequests);
+  for (const auto& it : {operator_address_, ready_address_}) {
+    EXPECT_LE(PeakOfCrowdThatReadsNothing(it, kConnections, text) -
+                  memory_in_use_before_kb_,
+              kMaxGrowthKb);
+  }
+}
+
 // Guards against memory for peers that have not shown the cluster key.
 TEST_F(ClientCrowdTest, UnfinishedFramesAtPeerAddress_StayWithinBounds) {
   constexpr std::string_view kLength("\0\0\x0f\xff", 4);
@@ -587,7 +601,7 @@
     const ProcessorShare share(*daemon_);
     HoldCrowd(UnfinishedBody(), kPieceBytes);
     HoldCrowd(UnfinishedChunks(kTinyChunkBytes), kPieceBytes);
-    EXPECT_LE(PeakOfCrowdThatReadsNothing(kMaxConnections,
+    EXPECT_LE(PeakOfCrowdThatReadsNothing(caller_address_, kMaxConnections,
                                           PipelinedRequests(kManyRequests)) -
                   memory_in_use_before_kb_,
               kMaxGrowthKb);
@@ -608,9 +622,9 @@
 // its sockets.
 TEST_F(SmallestVmCrowdTest, PipelinedRequests_AnswersNotRead_FitInMemory) {
   constexpr int kCrowd = 2500;
-  EXPECT_LE(
-      PeakOfCrowdThatReadsNothing(kCrowd, PipelinedRequests(kManyRequests)),
-      kMemoryMb * 1024);
+  EXPECT_LE(PeakOfCrowdThatReadsNothing(caller_address_, kCrowd,
+                                        PipelinedRequests(kManyRequests)),
+            kMemoryMb * 1024);
 }
 
 }  // namespace
