--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -470,11 +470,14 @@
             "platform": {"address": self.fleet.store.address},
             "bounds": {"holdMaxMs": HOLD_MAX_MS, "remoteFactor": 3}}
 
+    def settings(self, template):
+        return render(template, self.fields())
+
     def start(self):
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         role = deploy["roles"]["entry"]
         settings = self.fleet.folder / f"{self.name}.ini"
-        settings.write_text(render((ROOT / role["template"]).read_text(), self.fields()))
+        settings.write_text(self.settings((ROOT / role["template"]).read_text()))
         words = [str(settings) if it == "/etc/radishrail/settings.toml" else it
                  for it in role["run"].split()]
         self.log = open(self.fleet.folder / f"{self.name}.log", "ab")
@@ -506,6 +509,8 @@
 
 
 class Fleet:
+    daemon_class = Daemon
+
     def __init__(self, folder, zones=("tacoma-yard", "everett-yard", "olympia-yard"),
                  daemons_per_zone=2, runners_per_zone=2):
         self.record = Record(folder / "record.txt")
@@ -515,7 +520,7 @@
         self.runners = [
             Runner(self.record, self.store, f"i-{zone[:3]}{n}", zone, f"r-{zone[:3]}{n // 2}")
             for zone in zones for n in range(runners_per_zone)]
-        self.daemons = [Daemon(self, f"edge-{zone}-{n + 1}", zone)
+        self.daemons = [self.daemon_class(self, f"edge-{zone}-{n + 1}", zone)
                         for zone in zones for n in range(daemons_per_zone)]
 
     def config(self, version=3):
@@ -589,12 +594,12 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def run(folder, case, **options):
+def run(folder, case, fleet_class=Fleet, **options):
     """Runs a case: `case(fleet)` returns HELD or BROKEN."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
 
     async def main():
-        fleet = Fleet(pathlib.Path(folder), **options)
+        fleet = fleet_class(pathlib.Path(folder), **options)
         try:
             async with asyncio.timeout(110):
                 await fleet.start()
