--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -433,19 +433,24 @@
     return expand(template, [fields], "", True)
 
 
+used_ports = set()
+
+
 def free_ports(n):
     """Free ports below the range that the kernel takes for outgoing connections, so that a daemon
-    that starts again finds its ports free."""
+    that starts again finds its ports free. No port is given out twice."""
     ports = []
     while len(ports) < n:
         port = random.randrange(20000, 32000)
+        if port in used_ports:
+            continue
         with socket.socket() as it:
             try:
                 it.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if port not in ports:
-            ports.append(port)
+        used_ports.add(port)
+        ports.append(port)
     return ports
 
 
